--- /dev/null
+++ b/cmake/TamarackPackage.cmake
@@ -0,0 +1,44 @@
+# tamarack_package(NAME [PROGRAM NAME MAIN FILE] USES ...)
+#
+# Declares one package of the workspace: a library of src/*.cpp with its
+# public headers in include/, one test program of test/*Test.cpp, and one
+# benchmark program of bench/*Bench.cpp where there are any.
+function(tamarack_package Name)
+  cmake_parse_arguments(ARG "" "" "USES" ${ARGN})
+  file(GLOB Sources CONFIGURE_DEPENDS src/*.cpp)
+  list(FILTER Sources EXCLUDE REGEX "Main\\.cpp$")
+  add_library(tamarack_${Name} STATIC ${Sources})
+  target_include_directories(tamarack_${Name} PUBLIC include PRIVATE src)
+  target_link_libraries(tamarack_${Name} PUBLIC ${ARG_USES} Threads::Threads)
+
+  file(GLOB Tests CONFIGURE_DEPENDS test/*Test.cpp)
+  if(Tests)
+    add_executable(${Name}_test ${Tests} ${CMAKE_SOURCE_DIR}/cmake/TestMain.cpp)
+    target_include_directories(${Name}_test PRIVATE src test)
+    target_compile_definitions(${Name}_test PRIVATE BOOST_TEST_DYN_LINK
+      TAMARACK_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+    target_link_libraries(${Name}_test PRIVATE tamarack_${Name}
+      Boost::unit_test_framework rapidcheck)
+    add_test(NAME ${Name} COMMAND ${Name}_test --log_level=test_suite)
+    # RapidCheck draws the same histories on every run.
+    set_tests_properties(${Name} PROPERTIES
+      ENVIRONMENT "RC_PARAMS=seed=20261203" TIMEOUT 300)
+  endif()
+
+  file(GLOB Benches CONFIGURE_DEPENDS bench/*Bench.cpp)
+  if(Benches)
+    add_executable(${Name}_bench ${Benches})
+    target_include_directories(${Name}_bench PRIVATE src bench)
+    target_link_libraries(${Name}_bench PRIVATE tamarack_${Name}
+      benchmark::benchmark_main)
+  endif()
+endfunction()
+
+# tamarack_program(NAME MAIN USES...): a program with one main file in src/.
+function(tamarack_program Name Main)
+  add_executable(${Name} src/${Main})
+  target_include_directories(${Name} PRIVATE src)
+  target_link_libraries(${Name} PRIVATE ${ARGN})
+  set_target_properties(${Name} PROPERTIES
+    RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
--- /dev/null
+++ b/packages/base/include/tamarack/base/Compare.h
@@ -0,0 +1,35 @@
+/// Comparison operators for plain value types.
+///
+/// A value type that offers `auto tied() const` returning std::tie of its
+/// members gets ==, != and < from here:
+///
+///   struct Point {
+///     int X, Y;
+///     auto tied() const { return std::tie(X, Y); }
+///   };
+#ifndef TAMARACK_BASE_COMPARE_H
+#define TAMARACK_BASE_COMPARE_H
+
+#include <tuple>
+#include <utility>
+
+namespace tamarack {
+
+template <typename T, typename = decltype(std::declval<const T &>().tied())>
+bool operator==(const T &Left, const T &Right) {
+  return Left.tied() == Right.tied();
+}
+
+template <typename T, typename = decltype(std::declval<const T &>().tied())>
+bool operator!=(const T &Left, const T &Right) {
+  return !(Left == Right);
+}
+
+template <typename T, typename = decltype(std::declval<const T &>().tied())>
+bool operator<(const T &Left, const T &Right) {
+  return Left.tied() < Right.tied();
+}
+
+} // namespace tamarack
+
+#endif // TAMARACK_BASE_COMPARE_H
