Add links between processes: frames, streamed answers, heartbeats

Cause: processes need one typed, keyed connection with proof of what was not sent. A request that could not be written is proved not run; one that was written and then lost is not.

Ruled out: separate connections per exchange, which would need a handshake per call.

--- /dev/null
+++ b/packages/wire/test/LinkTest.cpp
@@ -0,0 +1,95 @@
+#include "tamarack/wire/Link.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+
+namespace {
+
+struct CountPart {
+  int Number;
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(CountPart, Number)
+};
+
+struct CountOrder {
+  static constexpr const char *Name = "count";
+  using Part = CountPart;
+  using Reply = CountPart;
+  int UpTo;
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(CountOrder, UpTo)
+};
+
+const LinkSettings Settings{"secret", std::chrono::milliseconds(20)};
+const CallLimits Limits{std::chrono::seconds(5), std::chrono::seconds(5)};
+
+struct Pair {
+  explicit Pair(const std::string &ClientKey = "secret") {
+    Server.handleStream<CountOrder>(
+        [](const CountOrder &Order,
+           const std::function<bool(const CountPart &)> &Part)
+            -> Expected<CountPart> {
+          if (Order.UpTo < 0)
+            return refuse(ErrorKind::WrongSequence, "below zero",
+                          NotRun::Proved);
+          for (int Number = 1; Number <= Order.UpTo; ++Number)
+            Part({Number});
+          return CountPart{Order.UpTo};
+        });
+    LinkSettings Own = Settings;
+    Own.Key = ClientKey;
+    Client = std::make_unique<LinkClient>(
+        Loop, LinkAddress{"127.0.0.1", *Server.listen({"127.0.0.1", 0})}, Own,
+        LinkHooks{}, Time);
+  }
+
+  SystemClock Time;
+  WireLoop Loop;
+  LinkServer Server{Loop, Settings, {}, Time};
+  std::unique_ptr<LinkClient> Client;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Links)
+
+BOOST_AUTO_TEST_CASE(AStreamedAnswerArrivesWholeAndInOrder) {
+  Pair Both;
+  std::vector<int> Seen;
+  const auto Answer = Both.Client->stream<CountOrder>(
+      {100}, Limits, [&Seen](const CountPart &Piece) {
+        Seen.push_back(Piece.Number);
+        return true;
+      });
+  BOOST_REQUIRE(Answer.has_value());
+  BOOST_TEST(Answer->Number == 100);
+  BOOST_TEST(Seen.size() == 100);
+  BOOST_TEST(std::is_sorted(Seen.begin(), Seen.end()));
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalKeepsItsKindAndItsProof) {
+  Pair Both;
+  const auto Answer = Both.Client->call<CountOrder>({-1}, Limits);
+  BOOST_REQUIRE(!Answer.has_value());
+  BOOST_TEST(Answer.error().Kind == ErrorKind::WrongSequence);
+  BOOST_TEST((Answer.error().Proof == NotRun::Proved));
+}
+
+BOOST_AUTO_TEST_CASE(AWrongKeyIsRefusedCountedAndProvedNotRun) {
+  Pair Both("guess");
+  const auto Answer = Both.Client->call<CountOrder>({1}, Limits);
+  BOOST_REQUIRE(!Answer.has_value());
+  BOOST_TEST(Answer.error().Kind == ErrorKind::LinkLost);
+  BOOST_TEST((Answer.error().Proof == NotRun::Proved));
+  BOOST_TEST(Both.Server.counts().RefusedKeys == 1);
+}
+
+BOOST_AUTO_TEST_CASE(NobodyListeningIsProvedNotRun) {
+  Pair Both;
+  const LinkAddress Nowhere{"127.0.0.1", 1};
+  LinkClient Lost(Both.Loop, Nowhere, Settings, {}, Both.Time);
+  const auto Answer = Lost.call<CountOrder>({1}, Limits);
+  BOOST_REQUIRE(!Answer.has_value());
+  BOOST_TEST((Answer.error().Proof == NotRun::Proved));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
