--- /dev/null
+++ b/packages/gate/include/tamarack/gate/Admission.h
@@ -0,0 +1,224 @@
+/// The queue and the concurrency limit in front of one endpoint.
+///
+/// Engines admit whatever comes, so calls wait here, and the engine is kept
+/// just full enough to meet its target time between tokens. Feed every event
+/// to the state and carry out the returned actions in order:
+///
+///   AdmissionState State{AdmissionLimits{}};
+///   for (const AdmissionAction &Action : onArrival(State, Call, Now))
+///     std::visit(Carrier, Action);
+///
+/// Order: a class with an unfilled reserve goes first; then the higher class;
+/// within a class the program with the least attained service. Waiting counts
+/// as a discount in both, hence no call starves. A call that would miss its
+/// deadline is refused on arrival as not run, with a time to come back.
+#ifndef TAMARACK_GATE_ADMISSION_H
+#define TAMARACK_GATE_ADMISSION_H
+
+#include "tamarack/gate/Attempts.h"
+
+#include <array>
+#include <variant>
+#include <vector>
+
+namespace tamarack {
+
+enum class CallClass { High, Normal, Low };
+
+constexpr std::size_t CallClassCount = 3;
+
+/// A value for each CallClass.
+template <typename T> struct PerClass {
+  std::array<T, CallClassCount> Values{};
+
+  T &operator[](CallClass Class) {
+    return Values[static_cast<std::size_t>(Class)];
+  }
+  const T &operator[](CallClass Class) const {
+    return Values[static_cast<std::size_t>(Class)];
+  }
+  auto tied() const { return std::tie(Values); }
+};
+
+struct QueuedCall {
+  AttemptId Id;
+  CallClass Class = CallClass::Normal;
+  /// The service the whole program already had.
+  TokenCount Attained = 0;
+  TokenCount PromptTokens = 0;
+  /// The part of the prompt in the engine's cache.
+  TokenCount CachedTokens = 0;
+  TokenCount MaxTokens = 0;
+  TimePoint Arrived;
+  /// When the whole answer must have come.
+  TimePoint Deadline;
+
+  auto tied() const {
+    return std::tie(Id, Class, Attained, PromptTokens, CachedTokens, MaxTokens,
+                    Arrived, Deadline);
+  }
+};
+
+/// The settings of one endpoint's queue.
+struct AdmissionLimits {
+  /// Calls that may wait, all classes together.
+  std::size_t QueueBound = 256;
+  std::size_t MaxBatch = 64;
+  /// Where the learned limit starts, and its least value.
+  std::size_t InitialRunning = 8;
+  std::size_t MinRunning = 4;
+  TokenCount MemoryTokens = 400'000;
+  Duration TokenTimeTarget = std::chrono::milliseconds(69);
+  Duration FirstTokenTarget = std::chrono::milliseconds(1800);
+  /// The share of the running calls reserved for each class. High's reserve is
+  /// kept open for calls to come; the others' only while they have calls
+  /// waiting. Low's share is its floor.
+  PerClass<double> ReservedShare{{0.25, 0.10, 0.05}};
+  /// The expected wait beyond which a new program is refused. A program under
+  /// way is refused only for its deadline or a full queue.
+  PerClass<Duration> NewProgramWait{{std::chrono::milliseconds(900),
+                                     std::chrono::seconds(5),
+                                     std::chrono::seconds(20)}};
+  /// A waiting call ranks one class higher after each such period.
+  Duration AgeingPeriod = std::chrono::seconds(30);
+  /// Attained service that a second of waiting makes up for.
+  TokenCount AgeingTokensPerSecond = 500;
+  /// Token times within these factors of the target leave the limit as it is.
+  double HoldAbove = 0.90;
+  double HoldBelow = 1.05;
+  /// The limit is reviewed after this many token times.
+  std::size_t ReviewSamples = 32;
+  double DecreaseFactor = 0.9;
+  /// Used until a first token was seen.
+  Duration InitialPrefillPerToken = Duration(100);
+
+  auto tied() const {
+    return std::tie(QueueBound, MaxBatch, InitialRunning, MinRunning,
+                    MemoryTokens, TokenTimeTarget, FirstTokenTarget,
+                    ReservedShare, NewProgramWait, AgeingPeriod,
+                    AgeingTokensPerSecond, HoldAbove, HoldBelow, ReviewSamples,
+                    DecreaseFactor, InitialPrefillPerToken);
+  }
+};
+
+struct WaitingCall {
+  QueuedCall Call;
+  /// The service time expected when it arrived.
+  Duration Work{0};
+};
+
+struct RunningCall {
+  QueuedCall Call;
+  TimePoint Started;
+  bool FirstTokenSeen = false;
+};
+
+/// What was learned about the endpoint from its answers.
+struct EndpointEstimate {
+  /// The mean time between tokens, in microseconds.
+  double TokenMicroseconds = 0;
+  double PrefillMicrosecondsPerToken = 0;
+  /// Answer length over MaxTokens.
+  double OutputRatio = 0;
+  double ServiceMicroseconds = 0;
+};
+
+/// Created from its limits; changed only by the functions below.
+struct AdmissionState {
+  AdmissionState() : AdmissionState(AdmissionLimits{}) {}
+  explicit AdmissionState(AdmissionLimits Limits);
+
+  AdmissionLimits Limits;
+  /// The learned number of calls that may run at once.
+  std::size_t RunningLimit;
+  EndpointEstimate Estimate;
+  PerClass<std::vector<WaitingCall>> Waiting;
+  PerClass<Duration> WaitingWork;
+  PerClass<std::size_t> RunningOf;
+  std::map<AttemptId, RunningCall> Running;
+  TokenCount ReservedTokens = 0;
+  double ReviewSum = 0;
+  std::size_t ReviewCount = 0;
+  bool Draining = false;
+};
+
+/// Send the call to the endpoint now, after markSent. When markSent refuses,
+/// the attempt became void while it waited: report onFinished with no tokens.
+struct StartCall {
+  AttemptId Id;
+};
+
+/// Answer the call with \p Failure. Nothing of it was sent: make its attempt
+/// void before answering.
+struct RefuseCall {
+  AttemptId Id;
+  Error Failure;
+};
+
+/// Cancel the running call at the engine; its end is reported by onFinished.
+struct StopCall {
+  AttemptId Id;
+};
+
+using AdmissionAction = std::variant<StartCall, RefuseCall, StopCall>;
+using AdmissionActions = std::vector<AdmissionAction>;
+
+/// A call has come: it starts, waits or is refused at once. A call that is
+/// already waiting or running is refused as Fenced, without proof.
+AdmissionActions onArrival(AdmissionState &State, const QueuedCall &Call,
+                           TimePoint Now);
+
+/// The first token of a running call has come.
+void onFirstToken(AdmissionState &State, const AttemptId &Id, TimePoint Now);
+
+/// A time between two tokens of one stream was observed.
+AdmissionActions onTokenTime(AdmissionState &State, Duration Between,
+                             TimePoint Now);
+
+/// A running call has ended, whole or not, with \p Produced tokens. Frees its
+/// place.
+AdmissionActions onFinished(AdmissionState &State, const AttemptId &Id,
+                            TokenCount Produced, TimePoint Now);
+
+/// To be called every few hundred milliseconds: refuses waiting calls whose
+/// deadline has become unreachable since they arrived.
+AdmissionActions onTick(AdmissionState &State, TimePoint Now);
+
+/// The caller has gone. A waiting call is dropped as not run; a running one is
+/// stopped.
+AdmissionActions onCancel(AdmissionState &State, const AttemptId &Id,
+                          TimePoint Now);
+
+/// The endpoint leaves: waiting calls are handed back as not run, new ones are
+/// refused, running ones finish.
+AdmissionActions onDrain(AdmissionState &State, TimePoint Now);
+
+/// Whether the endpoint has been drained to the last call.
+bool isDrained(const AdmissionState &State);
+
+/// What every reply tells the entries about this endpoint.
+struct QueueReport {
+  std::size_t Running = 0;
+  std::size_t RunningLimit = 0;
+  std::size_t Waiting = 0;
+  PerClass<Duration> ExpectedWait;
+  TokenCount FreeTokens = 0;
+  bool Draining = false;
+
+  auto tied() const {
+    return std::tie(Running, RunningLimit, Waiting, ExpectedWait, FreeTokens,
+                    Draining);
+  }
+};
+
+QueueReport report(const AdmissionState &State);
+
+/// The service time to expect for \p Call once it has started.
+Duration expectedService(const AdmissionState &State, const QueuedCall &Call);
+
+/// How long a call of \p Class would wait if it came now.
+Duration expectedWait(const AdmissionState &State, CallClass Class);
+
+} // namespace tamarack
+
+#endif // TAMARACK_GATE_ADMISSION_H
--- /dev/null
+++ b/packages/gate/src/Admission.cpp
@@ -0,0 +1,160 @@
+#include "tamarack/gate/Admission.h"
+
+#include "AdmissionEstimate.h"
+#include "AdmissionQueue.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+using internal::AllClasses;
+
+namespace {
+
+RefuseCall refusal(const QueuedCall &Call, ErrorKind Kind, std::string Message,
+                   std::optional<std::chrono::seconds> RetryAfter = {}) {
+  return {Call.Id, Error{Kind, std::move(Message), NotRun::Proved, RetryAfter}};
+}
+
+/// Why \p Call must not be queued; nothing when it may.
+std::optional<RefuseCall> reasonToRefuse(const AdmissionState &State,
+                                         const QueuedCall &Call,
+                                         TimePoint Now) {
+  if (State.Draining)
+    return refusal(Call, ErrorKind::Leaving, "the endpoint is leaving");
+  if (internal::tokensOf(Call) > State.Limits.MemoryTokens)
+    return refusal(Call, ErrorKind::LimitReached,
+                   "the call needs more memory than the endpoint has");
+  const Duration Wait = expectedWait(State, Call.Class);
+  const auto ComeBack = internal::timeToComeBack(Wait, Call.Id.Program);
+  if (Now + Wait + expectedService(State, Call) > Call.Deadline)
+    return refusal(Call, ErrorKind::DeadlineUnreachable,
+                   "the answer would come after the deadline", ComeBack);
+  if (internal::waitingCalls(State) >= internal::queueRoom(State, Call.Class))
+    return refusal(Call, ErrorKind::Overloaded, "the queue is full", ComeBack);
+  if (Call.Attained == 0 && Wait > State.Limits.NewProgramWait[Call.Class])
+    return refusal(Call, ErrorKind::Overloaded,
+                   "the wait is too long for a new program", ComeBack);
+  return std::nullopt;
+}
+
+AdmissionActions startWaiting(AdmissionState &State, TimePoint Now) {
+  AdmissionActions Actions;
+  while (std::optional<AttemptId> Next = internal::nextCall(State, Now)) {
+    internal::startCall(State, *Next, Now);
+    Actions.push_back(StartCall{*Next});
+  }
+  return Actions;
+}
+
+std::vector<QueuedCall> unreachableCalls(const AdmissionState &State,
+                                         TimePoint Now) {
+  std::vector<QueuedCall> Calls;
+  for (CallClass Class : AllClasses) {
+    for (const WaitingCall &Each : State.Waiting[Class]) {
+      if (Now + Each.Work > Each.Call.Deadline)
+        Calls.push_back(Each.Call);
+    }
+  }
+  return Calls;
+}
+
+} // namespace
+
+AdmissionState::AdmissionState(AdmissionLimits From)
+    : Limits(From),
+      RunningLimit(std::clamp(From.InitialRunning, From.MinRunning,
+                              std::max(From.MinRunning, From.MaxBatch))),
+      Estimate(internal::initialEstimate(From)) {}
+
+AdmissionActions onArrival(AdmissionState &State, const QueuedCall &Call,
+                           TimePoint Now) {
+  if (internal::isKnown(State, Call.Id))
+    return {RefuseCall{Call.Id,
+                       Error{ErrorKind::Fenced, "the attempt is known already",
+                             NotRun::Unproved, std::nullopt}}};
+  if (auto Refused = reasonToRefuse(State, Call, Now))
+    return {*Refused};
+  internal::enqueue(State, Call);
+  return startWaiting(State, Now);
+}
+
+void onFirstToken(AdmissionState &State, const AttemptId &Id, TimePoint Now) {
+  auto Found = State.Running.find(Id);
+  if (Found == State.Running.end() || Found->second.FirstTokenSeen)
+    return;
+  Found->second.FirstTokenSeen = true;
+  internal::learnPrefill(State.Estimate, Found->second.Call,
+                         Now - Found->second.Started);
+}
+
+AdmissionActions onTokenTime(AdmissionState &State, Duration Between,
+                             TimePoint Now) {
+  internal::learnTokenTime(State.Estimate, Between);
+  const std::size_t Before = State.RunningLimit;
+  internal::reviewLimit(State, Between);
+  if (State.RunningLimit <= Before)
+    return {};
+  return startWaiting(State, Now);
+}
+
+AdmissionActions onFinished(AdmissionState &State, const AttemptId &Id,
+                            TokenCount Produced, TimePoint Now) {
+  if (auto Ended = internal::endCall(State, Id))
+    internal::learnService(State.Estimate, *Ended, Produced, Now);
+  return startWaiting(State, Now);
+}
+
+AdmissionActions onTick(AdmissionState &State, TimePoint Now) {
+  AdmissionActions Actions;
+  for (const QueuedCall &Call : unreachableCalls(State, Now)) {
+    internal::dequeue(State, Call.Id);
+    const Duration Wait = expectedWait(State, Call.Class);
+    Actions.push_back(refusal(Call, ErrorKind::DeadlineUnreachable,
+                              "the answer would come after the deadline",
+                              internal::timeToComeBack(Wait, Call.Id.Program)));
+  }
+  for (AdmissionAction &Each : startWaiting(State, Now))
+    Actions.push_back(std::move(Each));
+  return Actions;
+}
+
+AdmissionActions onCancel(AdmissionState &State, const AttemptId &Id,
+                          TimePoint Now) {
+  if (State.Running.count(Id) != 0)
+    return {StopCall{Id}};
+  AdmissionActions Actions;
+  if (auto Call = internal::dequeue(State, Id))
+    Actions.push_back(
+        refusal(*Call, ErrorKind::LinkLost, "the caller has gone"));
+  for (AdmissionAction &Each : startWaiting(State, Now))
+    Actions.push_back(std::move(Each));
+  return Actions;
+}
+
+AdmissionActions onDrain(AdmissionState &State, TimePoint) {
+  State.Draining = true;
+  AdmissionActions Actions;
+  for (const QueuedCall &Call : internal::dequeueAll(State))
+    Actions.push_back(
+        refusal(Call, ErrorKind::Leaving, "the endpoint is leaving"));
+  return Actions;
+}
+
+bool isDrained(const AdmissionState &State) {
+  return State.Draining && State.Running.empty();
+}
+
+QueueReport report(const AdmissionState &State) {
+  QueueReport Report;
+  Report.Running = State.Running.size();
+  Report.RunningLimit = State.RunningLimit;
+  Report.Waiting = internal::waitingCalls(State);
+  for (CallClass Class : AllClasses)
+    Report.ExpectedWait[Class] = expectedWait(State, Class);
+  Report.FreeTokens = State.Limits.MemoryTokens - State.ReservedTokens;
+  Report.Draining = State.Draining;
+  return Report;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/packages/gate/src/AdmissionEstimate.cpp
@@ -0,0 +1,137 @@
+#include "AdmissionEstimate.h"
+
+#include "AdmissionQueue.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+/// The weight of a new sample in a moving average.
+constexpr double SampleWeight = 0.1;
+constexpr double InitialOutputRatio = 0.5;
+
+void blend(double &Average, double Sample) {
+  Average += SampleWeight * (Sample - Average);
+}
+
+double microseconds(Duration Time) { return static_cast<double>(Time.count()); }
+
+Duration fromMicroseconds(double Time) {
+  return Duration(static_cast<Duration::rep>(Time));
+}
+
+TokenCount uncachedTokens(const QueuedCall &Call) {
+  return Call.PromptTokens - std::min(Call.CachedTokens, Call.PromptTokens);
+}
+
+Duration workOver(Duration Work, std::size_t Calls) {
+  return Work / static_cast<Duration::rep>(std::max<std::size_t>(Calls, 1));
+}
+
+} // namespace
+
+namespace internal {
+
+EndpointEstimate initialEstimate(const AdmissionLimits &Limits) {
+  EndpointEstimate Estimate;
+  Estimate.TokenMicroseconds = microseconds(Limits.TokenTimeTarget);
+  Estimate.PrefillMicrosecondsPerToken =
+      microseconds(Limits.InitialPrefillPerToken);
+  Estimate.OutputRatio = InitialOutputRatio;
+  return Estimate;
+}
+
+void learnPrefill(EndpointEstimate &Estimate, const QueuedCall &Call,
+                  Duration Prefill) {
+  // A nearly cached prompt tells about the engine's step time only.
+  constexpr TokenCount LeastTokens = 256;
+  const TokenCount Tokens = uncachedTokens(Call);
+  if (Tokens >= LeastTokens)
+    blend(Estimate.PrefillMicrosecondsPerToken,
+          microseconds(Prefill) / static_cast<double>(Tokens));
+}
+
+void learnTokenTime(EndpointEstimate &Estimate, Duration Between) {
+  blend(Estimate.TokenMicroseconds, microseconds(Between));
+}
+
+void learnService(EndpointEstimate &Estimate, const RunningCall &Ended,
+                  TokenCount Produced, TimePoint Now) {
+  if (Produced == 0 || Ended.Call.MaxTokens == 0)
+    return;
+  blend(Estimate.OutputRatio,
+        std::min(1.0, static_cast<double>(Produced) /
+                          static_cast<double>(Ended.Call.MaxTokens)));
+  const double Service = microseconds(Now - Ended.Started);
+  if (Estimate.ServiceMicroseconds <= 0)
+    Estimate.ServiceMicroseconds = Service;
+  blend(Estimate.ServiceMicroseconds, Service);
+}
+
+void reviewLimit(AdmissionState &State, Duration Between) {
+  const AdmissionLimits &Limits = State.Limits;
+  State.ReviewSum += microseconds(Between);
+  if (++State.ReviewCount < Limits.ReviewSamples)
+    return;
+  const double Mean = State.ReviewSum / static_cast<double>(State.ReviewCount);
+  State.ReviewSum = 0;
+  State.ReviewCount = 0;
+  const double Target = microseconds(Limits.TokenTimeTarget);
+  // More calls running than allowed: an earlier decrease has not yet taken
+  // effect, and a second one would overshoot.
+  const bool Settled = State.Running.size() <= State.RunningLimit;
+  if (Mean > Target * Limits.HoldBelow && Settled) {
+    const auto Less = static_cast<std::size_t>(
+        static_cast<double>(State.RunningLimit) * Limits.DecreaseFactor);
+    State.RunningLimit = std::max(Less, Limits.MinRunning);
+  }
+  // Only a limit that holds calls back has been tried out.
+  const bool HoldsBack =
+      waitingCalls(State) > 0 || State.Running.size() >= State.RunningLimit;
+  if (Mean < Target * Limits.HoldAbove && HoldsBack)
+    State.RunningLimit = std::min(State.RunningLimit + 1, Limits.MaxBatch);
+}
+
+std::chrono::seconds timeToComeBack(Duration Wait, const ProgramId &Program) {
+  constexpr std::chrono::seconds Least(1);
+  const auto Seconds =
+      std::max(Least, std::chrono::ceil<std::chrono::seconds>(Wait));
+  const std::uint64_t Spread =
+      stableHash(Program.text()) %
+      (static_cast<std::uint64_t>(Seconds.count()) + 1);
+  return Seconds + std::chrono::seconds(Spread);
+}
+
+} // namespace internal
+
+Duration expectedService(const AdmissionState &State, const QueuedCall &Call) {
+  const EndpointEstimate &Estimate = State.Estimate;
+  const double Prefill = static_cast<double>(uncachedTokens(Call)) *
+                         Estimate.PrefillMicrosecondsPerToken;
+  const double Decode = static_cast<double>(Call.MaxTokens) *
+                        Estimate.OutputRatio * Estimate.TokenMicroseconds;
+  return fromMicroseconds(Prefill + Decode);
+}
+
+Duration expectedWait(const AdmissionState &State, CallClass Class) {
+  const Duration Own = State.WaitingWork[Class];
+  if (internal::hasRoom(State, Class) && Own.count() == 0)
+    return Duration(0);
+  Duration Ahead = Own;
+  for (CallClass Above : internal::AllClasses) {
+    if (Above < Class)
+      Ahead += State.WaitingWork[Above];
+  }
+  // The calls a class has running tell the share it gets at present; work of
+  // higher classes that has not come yet is so accounted for.
+  const std::size_t Share =
+      std::max(State.RunningOf[Class], internal::reservedCalls(State, Class));
+  const Duration NextFree = workOver(
+      fromMicroseconds(State.Estimate.ServiceMicroseconds), State.RunningLimit);
+  return NextFree +
+         std::max(workOver(Ahead, State.RunningLimit), workOver(Own, Share));
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/packages/gate/src/AdmissionQueue.cpp
@@ -0,0 +1,212 @@
+#include "AdmissionQueue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarack::internal {
+
+namespace {
+
+/// The place of a waiting call in the order; the least goes first.
+struct Rank {
+  int Level = 0;
+  std::int64_t Attained = 0;
+  TimePoint Arrived;
+  const AttemptId *Id = nullptr;
+
+  bool before(const Rank &Other) const {
+    return std::tie(Level, Attained, Arrived, *Id) <
+           std::tie(Other.Level, Other.Attained, Other.Arrived, *Other.Id);
+  }
+};
+
+Rank rankOf(const AdmissionLimits &Limits, const QueuedCall &Call,
+            TimePoint Now) {
+  const Duration Waited = std::max(Now - Call.Arrived, Duration(0));
+  const auto Promotions = Waited / std::max(Limits.AgeingPeriod, Duration(1));
+  const auto Level = static_cast<std::int64_t>(Call.Class) - Promotions;
+  const auto Seconds = std::chrono::duration<double>(Waited).count();
+  const auto Discount = static_cast<std::int64_t>(
+      Seconds * static_cast<double>(Limits.AgeingTokensPerSecond));
+  return {static_cast<int>(std::max<std::int64_t>(Level, 0)),
+          static_cast<std::int64_t>(Call.Attained) - Discount, Call.Arrived,
+          &Call.Id};
+}
+
+/// The running calls kept open for other classes than \p Class.
+std::size_t reservedForOthers(const AdmissionState &State, CallClass Class) {
+  std::size_t Open = 0;
+  for (CallClass Other : AllClasses) {
+    const bool Wanted =
+        Other == CallClass::High || !State.Waiting[Other].empty();
+    const std::size_t Reserved = reservedCalls(State, Other);
+    const std::size_t Used = State.RunningOf[Other];
+    if (Other != Class && Wanted && Used < Reserved)
+      Open += Reserved - Used;
+  }
+  return Open;
+}
+
+const QueuedCall *firstOf(const AdmissionState &State, CallClass Class,
+                          TimePoint Now) {
+  const QueuedCall *First = nullptr;
+  Rank Best;
+  for (const WaitingCall &Each : State.Waiting[Class]) {
+    const Rank Here = rankOf(State.Limits, Each.Call, Now);
+    if (First && !Here.before(Best))
+      continue;
+    First = &Each.Call;
+    Best = Here;
+  }
+  return First;
+}
+
+/// The first call of the highest class that has less than its reserve running.
+const QueuedCall *firstBelowReserve(const AdmissionState &State,
+                                    TimePoint Now) {
+  for (CallClass Class : AllClasses) {
+    const bool Below = State.RunningOf[Class] < reservedCalls(State, Class);
+    if (Below && hasRoom(State, Class) && !State.Waiting[Class].empty())
+      return firstOf(State, Class, Now);
+  }
+  return nullptr;
+}
+
+const QueuedCall *firstByRank(const AdmissionState &State, TimePoint Now) {
+  const QueuedCall *First = nullptr;
+  for (CallClass Class : AllClasses) {
+    if (!hasRoom(State, Class))
+      continue;
+    const QueuedCall *Here = firstOf(State, Class, Now);
+    if (!Here)
+      continue;
+    if (!First || rankOf(State.Limits, *Here, Now)
+                      .before(rankOf(State.Limits, *First, Now)))
+      First = Here;
+  }
+  return First;
+}
+
+auto findWaiting(std::vector<WaitingCall> &Calls, const AttemptId &Id) {
+  return std::find_if(Calls.begin(), Calls.end(), [&](const WaitingCall &Each) {
+    return Each.Call.Id == Id;
+  });
+}
+
+} // namespace
+
+std::size_t waitingCalls(const AdmissionState &State) {
+  std::size_t Sum = 0;
+  for (CallClass Class : AllClasses)
+    Sum += State.Waiting[Class].size();
+  return Sum;
+}
+
+std::size_t queueRoom(const AdmissionState &State, CallClass Class) {
+  double Share = 1;
+  for (CallClass Above : AllClasses) {
+    if (Above < Class)
+      Share -= State.Limits.ReservedShare[Above];
+  }
+  const auto Bound = static_cast<double>(State.Limits.QueueBound);
+  return static_cast<std::size_t>(std::max(Share, 0.0) * Bound);
+}
+
+std::size_t reservedCalls(const AdmissionState &State, CallClass Class) {
+  const double Share = State.Limits.ReservedShare[Class];
+  if (Share <= 0)
+    return 0;
+  const double Calls = Share * static_cast<double>(State.RunningLimit);
+  return std::max<std::size_t>(1, std::lround(Calls));
+}
+
+TokenCount tokensOf(const QueuedCall &Call) {
+  return Call.PromptTokens + Call.MaxTokens;
+}
+
+bool isKnown(const AdmissionState &State, const AttemptId &Id) {
+  if (State.Running.count(Id) != 0)
+    return true;
+  return std::any_of(AllClasses.begin(), AllClasses.end(),
+                     [&](CallClass Class) {
+                       const auto &Calls = State.Waiting[Class];
+                       return std::any_of(Calls.begin(), Calls.end(),
+                                          [&](const WaitingCall &Each) {
+                                            return Each.Call.Id == Id;
+                                          });
+                     });
+}
+
+void enqueue(AdmissionState &State, const QueuedCall &Call) {
+  const Duration Work = expectedService(State, Call);
+  State.Waiting[Call.Class].push_back({Call, Work});
+  State.WaitingWork[Call.Class] += Work;
+}
+
+std::optional<QueuedCall> dequeue(AdmissionState &State, const AttemptId &Id) {
+  for (CallClass Class : AllClasses) {
+    auto &Calls = State.Waiting[Class];
+    auto Found = findWaiting(Calls, Id);
+    if (Found == Calls.end())
+      continue;
+    QueuedCall Call = std::move(Found->Call);
+    State.WaitingWork[Class] -= Found->Work;
+    Calls.erase(Found);
+    return Call;
+  }
+  return std::nullopt;
+}
+
+std::vector<QueuedCall> dequeueAll(AdmissionState &State) {
+  std::vector<QueuedCall> Calls;
+  for (CallClass Class : AllClasses) {
+    for (WaitingCall &Each : State.Waiting[Class])
+      Calls.push_back(std::move(Each.Call));
+    State.Waiting[Class].clear();
+    State.WaitingWork[Class] = Duration(0);
+  }
+  return Calls;
+}
+
+bool hasRoom(const AdmissionState &State, CallClass Class) {
+  const std::size_t Taken =
+      State.Running.size() + reservedForOthers(State, Class);
+  return Taken < State.RunningLimit;
+}
+
+bool fitsMemory(const AdmissionState &State, const QueuedCall &Call) {
+  return State.ReservedTokens + tokensOf(Call) <= State.Limits.MemoryTokens;
+}
+
+std::optional<AttemptId> nextCall(const AdmissionState &State, TimePoint Now) {
+  const QueuedCall *First = firstBelowReserve(State, Now);
+  if (!First)
+    First = firstByRank(State, Now);
+  // A large call at the head waits for memory and is not passed by smaller
+  // ones, which could keep it waiting for ever.
+  if (!First || !fitsMemory(State, *First))
+    return std::nullopt;
+  return First->Id;
+}
+
+void startCall(AdmissionState &State, const AttemptId &Id, TimePoint Now) {
+  std::optional<QueuedCall> Call = dequeue(State, Id);
+  if (!Call)
+    return;
+  State.ReservedTokens += tokensOf(*Call);
+  ++State.RunningOf[Call->Class];
+  State.Running.emplace(Id, RunningCall{*Call, Now, false});
+}
+
+std::optional<RunningCall> endCall(AdmissionState &State, const AttemptId &Id) {
+  auto Found = State.Running.find(Id);
+  if (Found == State.Running.end())
+    return std::nullopt;
+  RunningCall Ended = std::move(Found->second);
+  State.Running.erase(Found);
+  State.ReservedTokens -= tokensOf(Ended.Call);
+  --State.RunningOf[Ended.Call.Class];
+  return Ended;
+}
+
+} // namespace tamarack::internal
--- /dev/null
+++ b/packages/gate/src/AdmissionQueue.h
@@ -0,0 +1,39 @@
+/// The waiting and running calls of an AdmissionState: entering, leaving, and
+/// the choice of the next call to start.
+#ifndef TAMARACK_GATE_SRC_ADMISSIONQUEUE_H
+#define TAMARACK_GATE_SRC_ADMISSIONQUEUE_H
+
+#include "tamarack/gate/Admission.h"
+
+namespace tamarack::internal {
+
+constexpr std::array<CallClass, CallClassCount> AllClasses{
+    CallClass::High, CallClass::Normal, CallClass::Low};
+
+std::size_t waitingCalls(const AdmissionState &State);
+/// How many calls may wait when one of \p Class comes; lower classes leave
+/// room for the higher ones.
+std::size_t queueRoom(const AdmissionState &State, CallClass Class);
+/// The running calls reserved for \p Class under the present limit.
+std::size_t reservedCalls(const AdmissionState &State, CallClass Class);
+/// The engine memory that \p Call takes at most.
+TokenCount tokensOf(const QueuedCall &Call);
+
+bool isKnown(const AdmissionState &State, const AttemptId &Id);
+void enqueue(AdmissionState &State, const QueuedCall &Call);
+/// Takes \p Id out of the queue; nothing when it does not wait.
+std::optional<QueuedCall> dequeue(AdmissionState &State, const AttemptId &Id);
+/// Empties the queue.
+std::vector<QueuedCall> dequeueAll(AdmissionState &State);
+
+/// Whether a call of \p Class could start at once if none waited before it.
+bool hasRoom(const AdmissionState &State, CallClass Class);
+bool fitsMemory(const AdmissionState &State, const QueuedCall &Call);
+/// The attempt to start next; nothing when none may start now.
+std::optional<AttemptId> nextCall(const AdmissionState &State, TimePoint Now);
+void startCall(AdmissionState &State, const AttemptId &Id, TimePoint Now);
+std::optional<RunningCall> endCall(AdmissionState &State, const AttemptId &Id);
+
+} // namespace tamarack::internal
+
+#endif // TAMARACK_GATE_SRC_ADMISSIONQUEUE_H
