--- /dev/null
+++ b/packages/entry/src/ShardTable.cpp
@@ -0,0 +1,186 @@
+#include "tamarack/entry/ShardTable.h"
+
+#include "ShardClaim.h"
+#include "tamarack/members/Ownership.h"
+
+#include <algorithm>
+#include <future>
+
+namespace tamarack {
+
+std::shared_ptr<OwnedFamily> OwnedShard::family(const ProgramId &Root) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  std::shared_ptr<OwnedFamily> &Held = Families[Root];
+  if (!Held) {
+    Held = std::make_shared<OwnedFamily>();
+    Held->State.Root = Root;
+  }
+  return Held;
+}
+
+struct ShardTable::Impl {
+  Impl(ShardRecords &Records, CopyAccess &Copies, Directory &Peers,
+       std::function<std::string()> UniqueToken)
+      : Records(Records), Copies(Copies), Peers(Peers),
+        UniqueToken(std::move(UniqueToken)) {}
+
+  std::shared_ptr<OwnedShard> held(ShardId Shard) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    const auto Found = Owned.find(Shard);
+    if (Found == Owned.end() || Found->second->Lost)
+      return nullptr;
+    return Found->second;
+  }
+
+  std::shared_ptr<std::mutex> claimMutex(ShardId Shard) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    std::shared_ptr<std::mutex> &Held = ClaimMutexes[Shard];
+    if (!Held)
+      Held = std::make_shared<std::mutex>();
+    return Held;
+  }
+
+  /// The owner elsewhere that was read before, if it is still counted on.
+  std::optional<InstanceId> knownElsewhere(ShardId Shard,
+                                           const MemberTable &Members) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    const auto Found = KnownOwners.find(Shard);
+    if (Found == KnownOwners.end() || !isServing(Found->second, Members))
+      return std::nullopt;
+    return Found->second.Owner;
+  }
+
+  /// Whether \p Named's owner may still serve: it is not gone, and this
+  /// process is not that owner.
+  bool isServing(const ShardRecord &Named, const MemberTable &Members) const {
+    if (Named.Owner == Peers.self().Instance)
+      return false;
+    return stateOf(Members, Named.Owner, Named.OwnerIncarnation) !=
+           MemberState::Gone;
+  }
+
+  std::optional<InstanceId> preferredHere(ShardId Shard,
+                                          const MemberTable &Members) const {
+    const Member Self = Peers.self();
+    std::vector<InstanceId> Entries{Self.Instance};
+    for (const Member &Entry :
+         membersIn(Members, MemberState::Live, Role::Entry, Self.Region))
+      if (Entry.Instance != Self.Instance)
+        Entries.push_back(Entry.Instance);
+    return preferredOwner(Shard, Entries);
+  }
+
+  Expected<ShardHome> claim(ShardId Shard,
+                            const std::optional<StoredShardRecord> &Before);
+
+  ShardRecords &Records;
+  CopyAccess &Copies;
+  Directory &Peers;
+  const std::function<std::string()> UniqueToken;
+
+  std::mutex Mutex;
+  std::map<ShardId, std::shared_ptr<OwnedShard>> Owned;
+  std::map<ShardId, ShardRecord> KnownOwners;
+  std::map<ShardId, std::shared_ptr<std::mutex>> ClaimMutexes;
+  ShardCounts Counts;
+};
+
+ShardTable::ShardTable(ShardRecords &Records, CopyAccess &Copies,
+                       Directory &Peers,
+                       std::function<std::string()> UniqueToken)
+    : State(std::make_unique<Impl>(Records, Copies, Peers,
+                                   std::move(UniqueToken))) {}
+
+ShardTable::~ShardTable() = default;
+
+Expected<ShardHome>
+ShardTable::Impl::claim(ShardId Shard,
+                        const std::optional<StoredShardRecord> &Before) {
+  auto Won = internal::claimShard({Records, Copies, Peers, UniqueToken}, Shard,
+                                  Before);
+  std::lock_guard<std::mutex> Lock(Mutex);
+  if (!Won) {
+    ++Counts.ClaimsLost;
+    return tl::make_unexpected(Won.error());
+  }
+  ++Counts.Claims;
+  Counts.CopiesReplaced += Won->CopiesReplaced;
+  Counts.RecordsRepaired += Won->RecordsRepaired;
+  KnownOwners.erase(Shard);
+  Owned[Shard] = Won->Shard;
+  return ShardHome{Won->Shard, {}};
+}
+
+Expected<ShardHome> ShardTable::locate(ShardId Shard, bool MayClaim) {
+  if (auto Held = State->held(Shard))
+    return ShardHome{std::move(Held), {}};
+  const auto Claiming = State->claimMutex(Shard);
+  std::lock_guard<std::mutex> OneAtATime(*Claiming);
+  if (auto Held = State->held(Shard))
+    return ShardHome{std::move(Held), {}};
+
+  const MemberTable Members = State->Peers.members();
+  if (const auto Known = State->knownElsewhere(Shard, Members))
+    return ShardHome{nullptr, *Known};
+  const auto Read = State->Records.read(Shard);
+  if (!Read) {
+    Error Unread = Read.error();
+    Unread.Proof = NotRun::Proved;
+    return tl::make_unexpected(Unread);
+  }
+  if (*Read && State->isServing((*Read)->Value, Members)) {
+    std::lock_guard<std::mutex> Lock(State->Mutex);
+    State->KnownOwners[Shard] = (*Read)->Value;
+    return ShardHome{nullptr, (*Read)->Value.Owner};
+  }
+  const bool WasHere =
+      *Read && (*Read)->Value.Owner == State->Peers.self().Instance;
+  const auto Preferred = State->preferredHere(Shard, Members);
+  if (!MayClaim && !WasHere && Preferred &&
+      *Preferred != State->Peers.self().Instance)
+    return ShardHome{nullptr, *Preferred};
+  return State->claim(Shard, *Read);
+}
+
+Expected<void> ShardTable::append(OwnedShard &Shard,
+                                  const std::vector<Append> &Entries) {
+  if (Shard.Lost)
+    return refuse(ErrorKind::Fenced, "the shard has another owner");
+  std::vector<std::future<Expected<void>>> Others;
+  for (std::size_t At = 1; At < Shard.Copies.size(); ++At)
+    Others.push_back(std::async(std::launch::async, [&, At] {
+      return State->Copies.append(Shard.Copies[At], Shard.Number, Entries);
+    }));
+  Expected<void> Outcome =
+      State->Copies.append(Shard.Copies.front(), Shard.Number, Entries);
+  for (auto &Other : Others)
+    if (Expected<void> Answer = Other.get(); !Answer)
+      Outcome = Answer;
+  if (!Outcome) {
+    Shard.Lost = true;
+    std::lock_guard<std::mutex> Lock(State->Mutex);
+    ++State->Counts.AppendsFailed;
+  }
+  return Outcome;
+}
+
+void ShardTable::forgetOwner(ShardId Shard) {
+  std::lock_guard<std::mutex> Lock(State->Mutex);
+  State->KnownOwners.erase(Shard);
+}
+
+std::vector<ShardId> ShardTable::owned() const {
+  std::lock_guard<std::mutex> Lock(State->Mutex);
+  std::vector<ShardId> Held;
+  for (const auto &[Shard, Owner] : State->Owned)
+    if (!Owner->Lost)
+      Held.push_back(Shard);
+  return Held;
+}
+
+ShardCounts ShardTable::counts() const {
+  std::lock_guard<std::mutex> Lock(State->Mutex);
+  return State->Counts;
+}
+
+} // namespace tamarack
--- a/packages/gate/include/tamarack/gate/Admission.h
+++ b/packages/gate/include/tamarack/gate/Admission.h
@@ -144,7 +144,7 @@
 
 /// Send the call to the endpoint now, after markSent. When markSent refuses,
 /// the attempt became void while it waited: report onFinished with no tokens.
-struct StartCall {
+struct SendCall {
   AttemptId Id;
 };
 
@@ -160,7 +160,7 @@
   AttemptId Id;
 };
 
-using AdmissionAction = std::variant<StartCall, RefuseCall, StopCall>;
+using AdmissionAction = std::variant<SendCall, RefuseCall, StopCall>;
 using AdmissionActions = std::vector<AdmissionAction>;
 
 /// A call has come: it starts, waits or is refused at once. A call that is
--- a/packages/gate/src/Admission.cpp
+++ b/packages/gate/src/Admission.cpp
@@ -42,7 +42,7 @@
   AdmissionActions Actions;
   while (std::optional<AttemptId> Next = internal::nextCall(State, Now)) {
     internal::startCall(State, *Next, Now);
-    Actions.push_back(StartCall{*Next});
+    Actions.push_back(SendCall{*Next});
   }
   return Actions;
 }
