--- /dev/null
+++ b/packages/ledger/src/ProgramRules.cpp
@@ -0,0 +1,50 @@
+#include "ProgramRules.h"
+
+namespace tamarack::internal {
+
+namespace {
+
+bool isEnded(const Family &Now, const ProgramId &Program) {
+  const auto Found = Now.Programs.find(Program);
+  return Found != Now.Programs.end() && Found->second.End.has_value();
+}
+
+} // namespace
+
+bool isEndedOrUnder(const Family &Now, const ProgramId &Program) {
+  const std::string &Text = Program.text();
+  for (std::size_t End = Text.find('/'); End != std::string::npos;
+       End = Text.find('/', End + 1))
+    if (isEnded(Now, ProgramId(Text.substr(0, End))))
+      return true;
+  return isEnded(Now, Program);
+}
+
+bool isRetriable(const ProgramState &State, const CallState &Call) {
+  if (!Call.Done || State.NextSequence != Call.Sent.Sequence + 1)
+    return false;
+  switch (Call.Done->How) {
+  case Outcome::Completed:
+    return false;
+  case Outcome::NotRun:
+    return true;
+  case Outcome::Failed:
+  case Outcome::Unknown:
+    return Call.Sent.Repeatable;
+  }
+  return false;
+}
+
+std::optional<std::vector<std::string>> messagesOf(const std::string &Array) {
+  std::vector<std::string> Messages;
+  if (Array.empty())
+    return Messages;
+  const Json Parsed = Json::parse(Array, nullptr, /*allow_exceptions=*/false);
+  if (!Parsed.is_array())
+    return std::nullopt;
+  for (const Json &Message : Parsed)
+    Messages.push_back(Message.dump());
+  return Messages;
+}
+
+} // namespace tamarack::internal
--- /dev/null
+++ b/packages/ledger/src/Records.cpp
@@ -0,0 +1,80 @@
+#include "tamarack/ledger/Records.h"
+
+namespace tamarack {
+
+namespace {
+
+/// Writes a record's body under its kind's name.
+struct BodyWriter {
+  Json &Value;
+
+  void operator()(const Begun &Body) const { Value["Begun"] = Body; }
+  void operator()(const Intent &Body) const { Value["Intent"] = Body; }
+  void operator()(const Result &Body) const { Value["Result"] = Body; }
+  void operator()(const Ended &Body) const { Value["Ended"] = Body; }
+};
+
+struct BodyPrinter {
+  std::ostream &Out;
+
+  void operator()(const Begun &Body) const {
+    Out << "begun, budget " << Body.Budget;
+  }
+  void operator()(const Intent &Body) const {
+    Out << "intent of call " << Body.Call << " attempt " << Body.Attempt
+        << " sequence " << Body.Sequence << " reserving " << Body.Reserved;
+  }
+  void operator()(const Result &Body) const {
+    Out << "result of call " << Body.Call << " attempt " << Body.Attempt << ' '
+        << Body.How << " using " << Body.Used;
+  }
+  void operator()(const Ended &Body) const { Out << "ended, " << Body.Reason; }
+};
+
+} // namespace
+
+void to_json(Json &Value, const Record &From) {
+  Value = Json::object();
+  Value["Program"] = From.Program;
+  std::visit(BodyWriter{Value}, From.Body);
+}
+
+void from_json(const Json &Value, Record &To) {
+  Value.at("Program").get_to(To.Program);
+  if (Value.contains("Begun"))
+    To.Body = Value.at("Begun").get<Begun>();
+  else if (Value.contains("Intent"))
+    To.Body = Value.at("Intent").get<Intent>();
+  else if (Value.contains("Result"))
+    To.Body = Value.at("Result").get<Result>();
+  else
+    To.Body = Value.at("Ended").get<Ended>();
+}
+
+std::vector<std::uint8_t> encodeRecord(const Record &Entry) {
+  return Json::to_cbor(Json(Entry));
+}
+
+Expected<Record> decodeRecord(const std::vector<std::uint8_t> &Bytes) {
+  try {
+    return Json::from_cbor(Bytes).get<Record>();
+  } catch (const Json::exception &Failure) {
+    return refuse(ErrorKind::MalformedRequest, Failure.what());
+  }
+}
+
+std::ostream &operator<<(std::ostream &Out, Outcome How) {
+  return Out << Json(How).get<std::string>();
+}
+
+std::ostream &operator<<(std::ostream &Out, EndReason Reason) {
+  return Out << Json(Reason).get<std::string>();
+}
+
+std::ostream &operator<<(std::ostream &Out, const Record &Entry) {
+  Out << Entry.Program << ": ";
+  std::visit(BodyPrinter{Out}, Entry.Body);
+  return Out;
+}
+
+} // namespace tamarack
