--- a/packages/entry/include/tamarack/entry/ShardTable.h
+++ b/packages/entry/include/tamarack/entry/ShardTable.h
@@ -13,6 +13,7 @@
 #define TAMARACK_ENTRY_SHARDTABLE_H
 
 #include "tamarack/entry/Ports.h"
+#include "tamarack/ledger/Program.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -27,8 +28,6 @@
   /// Notified whenever State changes.
   std::condition_variable Changed;
   Family State;
-  /// Set once a copy refused the family's records; nothing is added then.
-  bool Lost = false;
 };
 
 /// A shard at the epoch at which this process owns it.
--- /dev/null
+++ b/packages/entry/src/Owner.cpp
@@ -0,0 +1,249 @@
+#include "OwnerImpl.h"
+
+#include "tamarack/members/Ownership.h"
+
+#include <algorithm>
+
+namespace tamarack {
+namespace {
+
+/// Longest uninterrupted wait for another call of the program.
+constexpr Duration WaitStep = std::chrono::milliseconds(200);
+
+/// How an ended program is named in reports.
+std::string reasonOf(const std::optional<EndReason> &End) {
+  return End ? Json(*End).get<std::string>() : std::string();
+}
+
+ProgramReport reportOf(const Family &Now, const ProgramId &Program) {
+  const ProgramState &State = Now.Programs.at(Program);
+  ProgramReport Report;
+  Report.Program = Program;
+  Report.Budget = Now.Budget;
+  Report.Reserved = Now.Reserved;
+  Report.Settled = Now.Settled;
+  Report.Turns = State.Turns;
+  Report.NextSequence = State.NextSequence;
+  Report.Ended = reasonOf(State.End);
+  Report.History = State.History;
+  for (const auto &[Other, Unused] : Now.Programs)
+    if (Other != Program && Other.text().rfind(Program.text() + '/', 0) == 0)
+      Report.SubAgents.push_back(Other);
+  if (!State.CallBySequence.empty())
+    Report.LastEndpoint =
+        State.Calls.at(State.CallBySequence.rbegin()->second).Sent.Endpoint;
+  return Report;
+}
+
+} // namespace
+
+Owner::Impl::Impl(ShardTable &Shards, EndpointAccess &Endpoints,
+                  Directory &Peers, const Clock &Time, OwnerSettings Settings,
+                  std::function<std::string()> Fresh,
+                  std::function<std::uint64_t()> Draw)
+    : Shards(Shards), Endpoints(Endpoints), Peers(Peers), Time(Time),
+      Settings(std::move(Settings)), Fresh(std::move(Fresh)),
+      Draw(std::move(Draw)) {}
+
+Owner::Owner(ShardTable &Shards, EndpointAccess &Endpoints, Directory &Peers,
+             const Clock &Time, OwnerSettings Settings,
+             std::function<std::string()> Fresh,
+             std::function<std::uint64_t()> Draw)
+    : State(std::make_unique<Impl>(Shards, Endpoints, Peers, Time,
+                                   std::move(Settings), std::move(Fresh),
+                                   std::move(Draw))) {}
+
+Owner::~Owner() = default;
+
+std::int64_t Owner::Impl::nowMs() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             Time.calendarNow().time_since_epoch())
+      .count();
+}
+
+Expected<std::optional<InstanceId>> Owner::elsewhere(const ProgramId &Program,
+                                                     std::uint32_t Hops) {
+  const ShardId Shard = shardOf(Program, State->Settings.ShardCount);
+  const auto Home = State->Shards.locate(Shard, Hops > 0);
+  if (!Home)
+    return tl::make_unexpected(Home.error());
+  if (Home->Here)
+    return std::optional<InstanceId>();
+  if (Hops >= State->Settings.MaxHops)
+    return refuse(ErrorKind::OwnerUnavailable,
+                  "the program's owner is changing", NotRun::Proved);
+  return std::optional<InstanceId>(Home->Elsewhere);
+}
+
+Expected<ServedFamily> Owner::Impl::serve(const ProgramId &Program) {
+  const ShardId Shard = shardOf(Program, Settings.ShardCount);
+  const auto Home = Shards.locate(Shard, true);
+  if (!Home)
+    return tl::make_unexpected(Home.error());
+  if (!Home->Here)
+    return refuse(ErrorKind::Fenced, "another entry owns the program",
+                  NotRun::Proved);
+  return ServedFamily{Home->Here, Home->Here->family(rootOf(Program))};
+}
+
+Expected<void> Owner::Impl::record(const ServedFamily &Where,
+                                   const std::vector<Record> &Records) {
+  if (Where.Shard->Lost)
+    return refuse(ErrorKind::Fenced, "the shard has another owner");
+  Family &Now = Where.Held->State;
+  std::vector<Append> Entries;
+  for (const Record &Next : Records) {
+    Entries.push_back({Where.Shard->At, Now.Root, Now.Length, Next});
+    // The state may run ahead of the log here: the shard is lost on any
+    // failure, and is read anew from its copies before it serves again.
+    if (auto Applied = applyTo(Now, Next); !Applied) {
+      Where.Shard->Lost = true;
+      return Applied;
+    }
+  }
+  if (auto Written = Shards.append(*Where.Shard, Entries); !Written)
+    return Written;
+  Where.Held->Changed.notify_all();
+  return {};
+}
+
+Expected<CallReply> Owner::Impl::refused(const Error &Why) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  ++Counts.Refused[Why.Kind];
+  return tl::make_unexpected(Why);
+}
+
+Expected<CallReply> Owner::call(const CallOrder &Order,
+                                const PartSink &OnPart) {
+  Impl &Self = *State;
+  const TimePoint Deadline = Self.Time.now() + Order.Remaining;
+  const CallId Call(Self.Fresh());
+  const auto Asked = internal::requestOf(Order, Call, Self.nowMs());
+  if (!Asked)
+    return Self.refused(Asked.error());
+  std::vector<EndpointId> Tried;
+  bool MayHaveRun = false;
+  while (true) {
+    const auto Where = Self.serve(Order.Program);
+    if (!Where) {
+      Error Why = Where.error();
+      if (MayHaveRun)
+        Why.Proof = NotRun::Unproved;
+      return Self.refused(Why);
+    }
+    FamilyLock Lock(Where->Held->Mutex);
+    Self.resolveOpen(*Where, Lock);
+    if (Where->Shard->Lost)
+      continue;
+    CallRequest Request = *Asked;
+    internal::addHistory(Request, Where->Held->State);
+    const CallDecision Decision =
+        decideCall(Where->Held->State, Request, Self.nowMs());
+    if (const auto *Refused = std::get_if<Refuse>(&Decision)) {
+      if (Refused->EndRecord &&
+          Self.record(*Where, {*Refused->EndRecord}).has_value())
+        Self.releaseEverywhere(Where->Held->State);
+      return Self.refused(Refused->Why);
+    }
+    if (const auto *Stored = std::get_if<StoredAnswer>(&Decision)) {
+      {
+        std::lock_guard<std::mutex> Counting(Self.Mutex);
+        ++Self.Counts.Stored;
+      }
+      auto Reply = internal::replyOf(Stored->Answer);
+      if (Reply)
+        Reply->Stored = Tried.empty();
+      return Reply;
+    }
+    if (const auto *Start = std::get_if<StartCall>(&Decision)) {
+      const bool MayTry = Tried.size() < Self.Settings.MaxAttempts;
+      auto Reply = Self.start(
+          *Where, Lock, Order, Request, *Start,
+          Tried.empty() ? OnPart : [](const CallPart &) {}, Tried, Deadline);
+      if (Reply || !MayTry || !Order.Repeatable ||
+          Tried.size() >= Self.Settings.MaxAttempts ||
+          Self.Time.now() >= Deadline)
+        return Reply;
+      if (Reply.error().Kind != ErrorKind::EndpointFailed &&
+          Reply.error().Kind != ErrorKind::EndpointUnavailable &&
+          Reply.error().Kind != ErrorKind::Leaving)
+        return Reply;
+      MayHaveRun = MayHaveRun || Reply.error().Proof == NotRun::Unproved;
+      std::lock_guard<std::mutex> Counting(Self.Mutex);
+      ++Self.Counts.Retried;
+      continue;
+    }
+    const TimePoint Now = Self.Time.now();
+    if (Now >= Deadline) {
+      const bool Joining = std::holds_alternative<JoinCall>(Decision);
+      return Self.refused(
+          {Joining ? ErrorKind::Timeout : ErrorKind::WrongSequence,
+           Joining ? "the call still runs"
+                   : "an earlier call of the program did not come or end",
+           Joining || MayHaveRun ? NotRun::Unproved : NotRun::Proved,
+           {}});
+    }
+    {
+      std::lock_guard<std::mutex> Counting(Self.Mutex);
+      ++(std::holds_alternative<JoinCall>(Decision) ? Self.Counts.Joined
+                                                    : Self.Counts.Waited);
+    }
+    Where->Held->Changed.wait_for(Lock,
+                                  std::min<Duration>(WaitStep, Deadline - Now));
+  }
+}
+
+Expected<ProgramReport> Owner::program(const ProgramOrder &Order) {
+  const auto Where = State->serve(Order.Program);
+  if (!Where)
+    return tl::make_unexpected(Where.error());
+  FamilyLock Lock(Where->Held->Mutex);
+  State->resolveOpen(*Where, Lock);
+  const Family &Now = Where->Held->State;
+  const auto Found = Now.Programs.find(Order.Program);
+  if (Found == Now.Programs.end() ||
+      Now.Programs.at(Now.Root).Start.Customer != Order.Customer)
+    return refuse(ErrorKind::UnknownProgram,
+                  "no program " + Order.Program.text() + " has begun",
+                  NotRun::Proved);
+  if (Order.End && !Found->second.End) {
+    if (auto Ended = State->end(*Where, Order.Program); !Ended)
+      return tl::make_unexpected(Ended.error());
+  }
+  return reportOf(Where->Held->State, Order.Program);
+}
+
+Expected<void> Owner::Impl::end(const ServedFamily &Where,
+                                const ProgramId &Program) {
+  const auto Written =
+      record(Where, {Record{Program, Ended{EndReason::Requested}}});
+  if (Written)
+    releaseEverywhere(Where.Held->State);
+  return Written;
+}
+
+void Owner::Impl::releaseEverywhere(const Family &Now) {
+  std::map<EndpointId, std::vector<ProgramId>> Holding;
+  for (const auto &[Program, Known] : Now.Programs)
+    if (Known.End || Now.Programs.at(Now.Root).End)
+      for (const auto &[Call, Sent] : Known.Calls)
+        Holding[Sent.Sent.Endpoint].push_back(Program);
+  for (const Member &Holder :
+       membersIn(Peers.members(), MemberState::Leaving, Role::Endpoint)) {
+    const auto Found = Holding.find(Holder.Endpoint);
+    if (Found != Holding.end())
+      Endpoints.release(Holder.Instance, {Found->second});
+  }
+}
+
+OwnerCounts Owner::counts() const {
+  std::lock_guard<std::mutex> Lock(State->Mutex);
+  return State->Counts;
+}
+
+bool Owner::Impl::isLocal(const AttemptId &Id) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  return Local.count(Id) != 0;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/packages/entry/src/OwnerImpl.h
@@ -0,0 +1,89 @@
+/// The parts of Owner that its units share.
+#ifndef TAMARACK_ENTRY_OWNERIMPL_H
+#define TAMARACK_ENTRY_OWNERIMPL_H
+
+#include "Prompt.h"
+#include "tamarack/entry/Owner.h"
+
+#include <set>
+
+namespace tamarack {
+
+using FamilyLock = std::unique_lock<std::mutex>;
+
+/// A root program as it is served right now.
+struct ServedFamily {
+  std::shared_ptr<OwnedShard> Shard;
+  std::shared_ptr<OwnedFamily> Held;
+};
+
+/// The attempt that a decision to start has led to.
+struct OpenAttempt {
+  AttemptId Id;
+  InstanceId Instance;
+  Intent Sent;
+};
+
+struct Owner::Impl {
+  Impl(ShardTable &Shards, EndpointAccess &Endpoints, Directory &Peers,
+       const Clock &Time, OwnerSettings Settings,
+       std::function<std::string()> Fresh, std::function<std::uint64_t()> Draw);
+
+  Expected<ServedFamily> serve(const ProgramId &Program);
+  std::int64_t nowMs() const;
+
+  /// Appends records at every copy and applies them. The caller holds the
+  /// family's mutex.
+  Expected<void> record(const ServedFamily &Where,
+                        const std::vector<Record> &Records);
+
+  /// Settles attempts that were left open by an earlier owner or by a lost
+  /// link, as far as their endpoints can tell. Unlocks while it asks.
+  void resolveOpen(const ServedFamily &Where, FamilyLock &Lock);
+  /// Asks after one attempt. Nothing when it still runs or nobody can tell yet.
+  std::optional<Result> askAfter(const AttemptId &Id, const Intent &Sent);
+
+  /// Chooses an endpoint and writes the intent.
+  Expected<OpenAttempt> openAttempt(const ServedFamily &Where,
+                                    const CallOrder &Order,
+                                    const CallRequest &Request,
+                                    const StartCall &Start,
+                                    const std::vector<EndpointId> &Tried);
+  /// Sends an attempt and gives its result, whatever it takes to learn it.
+  Result runAttempt(const OpenAttempt &Attempt, const ExecuteOrder &Execute,
+                    const PartSink &OnPart, TimePoint Deadline);
+  Result resultOf(const OpenAttempt &Attempt,
+                  const Expected<ExecuteReply> &Answer) const;
+  /// Writes the result of an attempt, under whichever epoch the shard is held.
+  Expected<void> settle(const OpenAttempt &Attempt, const Result &Done,
+                        TimePoint Deadline);
+
+  Expected<CallReply> start(const ServedFamily &Where, FamilyLock &Lock,
+                            const CallOrder &Order, const CallRequest &Request,
+                            const StartCall &Start, const PartSink &OnPart,
+                            std::vector<EndpointId> &Tried, TimePoint Deadline);
+  Expected<CallReply> refused(const Error &Why);
+
+  /// Ends a program and frees its engine memory.
+  Expected<void> end(const ServedFamily &Where, const ProgramId &Program);
+  void releaseEverywhere(const Family &Now);
+
+  bool isLocal(const AttemptId &Id);
+
+  ShardTable &Shards;
+  EndpointAccess &Endpoints;
+  Directory &Peers;
+  const Clock &Time;
+  const OwnerSettings Settings;
+  const std::function<std::string()> Fresh;
+  const std::function<std::uint64_t()> Draw;
+
+  mutable std::mutex Mutex;
+  /// Attempts that a thread of this process is waiting for.
+  std::set<AttemptId> Local;
+  OwnerCounts Counts;
+};
+
+} // namespace tamarack
+
+#endif // TAMARACK_ENTRY_OWNERIMPL_H
--- a/packages/entry/src/ShardClaim.cpp
+++ b/packages/entry/src/ShardClaim.cpp
@@ -1,5 +1,7 @@
 #include "ShardClaim.h"
 
+#include "tamarack/members/Ownership.h"
+
 #include <algorithm>
 
 namespace tamarack {
@@ -31,8 +33,8 @@
   Next.Value.OwnerIncarnation = Self.Life;
   Next.Value.Copies = std::move(Copies);
   Next.Value.Token = Tools.UniqueToken();
-  const Expected<void> Won = Tools.Records.swap(
-      Shard, Before ? Before->Revision : 0, Next.Value);
+  const Expected<void> Won =
+      Tools.Records.swap(Shard, Before ? Before->Revision : 0, Next.Value);
   if (!Won)
     return tl::make_unexpected(notRun(Won.error()));
   // The revision after a swap is only known to the service.
@@ -58,8 +60,8 @@
 }
 
 /// Settles the log of every root that any of \p Sealed holds.
-std::map<ProgramId, Settlement>
-settleAll(const std::vector<SealedCopy> &Sealed, const ShardRecord &Named) {
+std::map<ProgramId, Settlement> settleAll(const std::vector<SealedCopy> &Sealed,
+                                          const ShardRecord &Named) {
   std::map<ProgramId, Settlement> Settled;
   for (const SealedCopy &Copy : Sealed)
     for (const auto &[Root, Unused] : Copy.Roots)
@@ -68,19 +70,18 @@
     std::vector<SealedLog> Held;
     for (const SealedCopy &Copy : Sealed) {
       const auto Found = Copy.Roots.find(Root);
-      Held.push_back({Copy.Place.Folder,
-                      Found == Copy.Roots.end() ? std::vector<Record>()
-                                                : Found->second});
+      Held.push_back({Copy.Place.Folder, Found == Copy.Roots.end()
+                                             ? std::vector<Record>()
+                                             : Found->second});
     }
     Agreed = settle(Root, Held, Named.Copies.size(), Named.Version);
   }
   return Settled;
 }
 
-Expected<std::uint64_t>
-repair(const ClaimTools &Tools, ShardId Shard,
-       const std::vector<SealedCopy> &Sealed,
-       const std::map<ProgramId, Settlement> &Settled) {
+Expected<std::uint64_t> repair(const ClaimTools &Tools, ShardId Shard,
+                               const std::vector<SealedCopy> &Sealed,
+                               const std::map<ProgramId, Settlement> &Settled) {
   std::uint64_t Repaired = 0;
   for (const auto &[Root, Agreed] : Settled)
     for (const Repair &Fix : Agreed.Repairs)
@@ -148,10 +149,10 @@
   const auto Order = chooseCopies(Shard, Holders, Holders.size());
   for (const bool OtherDataCentre : {true, false})
     for (const Member &Holder : Order) {
-      const bool Taken = std::any_of(
-          Places.begin(), Places.end(), [&Holder](const CopyPlace &Place) {
-            return Place.Instance == Holder.Instance;
-          });
+      const bool Taken = std::any_of(Places.begin(), Places.end(),
+                                     [&Holder](const CopyPlace &Place) {
+                                       return Place.Instance == Holder.Instance;
+                                     });
       const bool Shares =
           std::find(Used.begin(), Used.end(), Holder.DataCentre) != Used.end();
       if (Places.size() >= CopiesPerShard || Taken ||
@@ -189,9 +190,9 @@
 claimShard(const ClaimTools &Tools, ShardId Shard,
            const std::optional<StoredShardRecord> &Before) {
   // Taking the version first makes every later step at it exclusively ours.
-  auto Taken = writeRecord(Tools, Shard, Before,
-                           Before ? Before->Value.Copies
-                                  : std::vector<CopyPlace>());
+  auto Taken =
+      writeRecord(Tools, Shard, Before,
+                  Before ? Before->Value.Copies : std::vector<CopyPlace>());
   if (!Taken)
     return tl::make_unexpected(Taken.error());
   const std::vector<SealedCopy> Sealed =
--- a/packages/entry/src/ShardClaim.h
+++ b/packages/entry/src/ShardClaim.h
@@ -26,8 +26,9 @@
 /// Takes \p Shard over from \p Before, which is its record as just read.
 /// RevisionConflict when another entry was first; every failure is proved not
 /// run, since nothing was sent for any call.
-Expected<ClaimOutcome> claimShard(const ClaimTools &Tools, ShardId Shard,
-                                  const std::optional<StoredShardRecord> &Before);
+Expected<ClaimOutcome>
+claimShard(const ClaimTools &Tools, ShardId Shard,
+           const std::optional<StoredShardRecord> &Before);
 
 } // namespace internal
 } // namespace tamarack
