--- /dev/null
+++ b/packages/daemon/src/Daemon.cpp
@@ -0,0 +1,271 @@
+#include "tamarack/daemon/Daemon.h"
+
+#include "CallersHttp.h"
+#include "EndpointGate.h"
+#include "Supervisor.h"
+#include "tamarack/config/Keys.h"
+
+#include <random>
+#include <spdlog/spdlog.h>
+#include <thread>
+
+namespace tamarack {
+namespace {
+
+using namespace internal;
+
+constexpr Duration DrainPoll = std::chrono::milliseconds(20);
+
+/// Random numbers from the system, for ids that must never come twice.
+class RandomSource {
+public:
+  std::uint64_t draw() {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return Engine();
+  }
+  std::string fresh() { return fmt::format("{:016x}{:016x}", draw(), draw()); }
+
+private:
+  std::mutex Mutex;
+  std::mt19937_64 Engine{
+      (static_cast<std::uint64_t>(std::random_device()()) << 32U) ^
+      std::random_device()()};
+};
+
+Incarnation incarnationNow(const Clock &Time) {
+  return static_cast<Incarnation>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          Time.calendarNow().time_since_epoch())
+          .count());
+}
+
+Member memberOf(const Settings &Own, Incarnation Life, const FolderId &Folder) {
+  Member Self;
+  Self.Instance = Own.Instance;
+  Self.Life = Life;
+  Self.Kind = Own.Role == ProcessRole::Entry ? Role::Entry : Role::Endpoint;
+  Self.Region = Own.Region;
+  Self.DataCentre = Own.DataCentre;
+  Self.Host = Own.Host;
+  Self.Port = Own.PeerPort;
+  Self.Folder = Folder;
+  if (Own.Endpoint) {
+    Self.Endpoint = Own.Endpoint->Name;
+    Self.Serves = Own.Endpoint->Serves;
+  }
+  return Self;
+}
+
+PeerSettings peerSettingsOf(const Settings &Own, const Member &Self,
+                            const std::string &Secret) {
+  PeerSettings Peers;
+  Peers.Self = Self;
+  Peers.Link.Key = Secret;
+  Peers.Link.HeartbeatEvery = Own.HeartbeatEvery;
+  Peers.Link.SilenceLimit = Own.SilenceLimit;
+  Peers.Timing.HeartbeatPeriod = Own.HeartbeatEvery;
+  const auto Missed = Own.SuspectAfter / Own.HeartbeatEvery;
+  Peers.Timing.SuspectAfterMissed = static_cast<unsigned>(Missed);
+  Peers.Timing.GoneAfterMissed = static_cast<unsigned>(2 * Missed);
+  return Peers;
+}
+
+AdmissionLimits admissionOf(const EndpointSettings &Endpoint) {
+  AdmissionLimits Limits;
+  Limits.MaxBatch = Endpoint.MaxBatch;
+  if (Endpoint.MemoryTokens > 0)
+    Limits.MemoryTokens = Endpoint.MemoryTokens;
+  return Limits;
+}
+
+/// Registers the messages that any process with a data folder answers.
+void serveCopies(LinkServer &Server, FolderStore &Store) {
+  const auto Check = [&Store](const FolderId &Named) -> Expected<void> {
+    if (Named != Store.folder())
+      return refuse(ErrorKind::Fenced, "this folder is another one");
+    return {};
+  };
+  const auto AckOf = [](const Expected<void> &Done) -> Expected<Ack> {
+    if (!Done)
+      return tl::make_unexpected(Done.error());
+    return Ack{};
+  };
+  Server.handle<SealOrder>([&Store, Check, AckOf](const SealOrder &Order) {
+    const auto Right = Check(Order.Folder);
+    return AckOf(Right ? Store.seal(Order.Shard, Order.At) : Right);
+  });
+  Server.handle<AppendOrder>([&Store, Check, AckOf](const AppendOrder &Order) {
+    Expected<void> Done = Check(Order.Folder);
+    for (const Append &Entry : Order.Entries)
+      if (Done)
+        Done = Store.append(Order.Shard, Entry);
+    return AckOf(Done);
+  });
+  Server.handle<InstallOrder>(
+      [&Store, Check, AckOf](const InstallOrder &Order) {
+        const auto Right = Check(Order.Folder);
+        return AckOf(Right ? Store.install(Order.Shard, Order.Change) : Right);
+      });
+  Server.handle<ReadOrder>(
+      [&Store, Check](const ReadOrder &Order) -> Expected<ShardLogs> {
+        if (const auto Right = Check(Order.Folder); !Right)
+          return tl::make_unexpected(Right.error());
+        auto Read = Store.readAll(Order.Shard);
+        if (!Read)
+          return tl::make_unexpected(Read.error());
+        ShardLogs Logs;
+        for (auto &[Root, Records] : *Read)
+          Logs.Roots.push_back({Root, std::move(Records)});
+        return Logs;
+      });
+}
+
+} // namespace
+
+/// The parts of one process; those of the other role stay empty.
+struct Daemon::Impl {
+  Impl(const Settings &Given, const Clock &Source, std::string PeerSecret,
+       CallerKeys Known, std::unique_ptr<FolderStore> Folder)
+      : Own(Given), Time(Source), Callers(std::move(Known)),
+        Store(std::move(Folder)), Life(incarnationNow(Source)),
+        Service(Given.Platform, Given.PlatformTimeout),
+        Network(peerSettingsOf(
+                    Given,
+                    memberOf(Given, Life, Store ? Store->folder() : FolderId()),
+                    PeerSecret),
+                Service, Source) {}
+
+  void buildEntry();
+  void buildEndpoint();
+  Expected<void> start();
+  void stop();
+
+  const Settings Own;
+  const Clock &Time;
+  const CallerKeys Callers;
+  RandomSource Random;
+  std::unique_ptr<FolderStore> Store;
+  const Incarnation Life;
+  Platform Service;
+  Peers Network;
+
+  std::unique_ptr<PlatformShardRecords> Records;
+  std::unique_ptr<ShardTable> Shards;
+  std::unique_ptr<Owner> Programs;
+  std::unique_ptr<Router> Requests;
+  std::unique_ptr<CallersHttp> CallersPort;
+  std::unique_ptr<EndpointGate> Gate;
+  Supervisor Root{"root"};
+};
+
+void Daemon::Impl::buildEntry() {
+  Records = std::make_unique<PlatformShardRecords>(Service, Own.Region);
+  Shards = std::make_unique<ShardTable>(*Records, Network, Network,
+                                        [this] { return Random.fresh(); });
+  OwnerSettings Calls;
+  Calls.ShardCount = Own.ShardCount;
+  Programs = std::make_unique<Owner>(
+      *Shards, Network, Network, Time, Calls, [this] { return Random.fresh(); },
+      [this] { return Random.draw(); });
+  Requests = std::make_unique<Router>(*Programs, *Shards, Network, Time,
+                                      Own.ShardCount);
+  CallersSettings Port;
+  Port.Host = Own.Host;
+  Port.Port = Own.CallerPort;
+  Port.Region = Own.Region;
+  for (const CallerKeys::Row &Row : Callers.Rows)
+    Port.Keys[Row.Secret.secret()] = Row.Customer;
+  CallersPort = std::make_unique<CallersHttp>(
+      Port, *Requests, Network, [this] { return Random.fresh(); });
+
+  LinkServer &Server = Network.server();
+  Server.handleStream<CallOrder>(
+      [this](const CallOrder &Order,
+             const std::function<bool(const CallPart &)> &Part) {
+        return Requests->call(Order,
+                              [&Part](const CallPart &Piece) { Part(Piece); });
+      });
+  Server.handle<ProgramOrder>(
+      [this](const ProgramOrder &Order) { return Requests->program(Order); });
+}
+
+void Daemon::Impl::buildEndpoint() {
+  Gate = std::make_unique<EndpointGate>(*Own.Endpoint, Life,
+                                        admissionOf(*Own.Endpoint), Time);
+  Network.setLoadSource([this] { return Gate->load(); });
+  LinkServer &Server = Network.server();
+  Server.handleStream<ExecuteOrder>(
+      [this](const ExecuteOrder &Order,
+             const std::function<bool(const CallPart &)> &Part) {
+        return Gate->execute(Order, Part);
+      });
+  Server.handle<AskOrder>([this](const AskOrder &Order) {
+    return Expected<AttemptFate>(Gate->ask(Order));
+  });
+  Server.handle<ReleaseOrder>([this](const ReleaseOrder &Order) {
+    Gate->release(Order);
+    return Expected<Ack>(Ack{});
+  });
+}
+
+Expected<void> Daemon::Impl::start() {
+  if (Store)
+    serveCopies(Network.server(), *Store);
+  if (Own.Role == ProcessRole::Entry)
+    buildEntry();
+  else
+    buildEndpoint();
+  Root.add(
+      {"peers",
+       [this] { return Network.start(Store.get()).map([](std::uint16_t) {}); },
+       [this] { Network.stop(); }});
+  if (CallersPort)
+    Root.add({"callers", [this] { return CallersPort->start(); },
+              [this] { CallersPort->stop(); }});
+  return Root.start();
+}
+
+void Daemon::Impl::stop() {
+  Network.setLeaving();
+  if (Gate) {
+    Gate->drain();
+    const TimePoint GiveUp = Time.now() + Own.StopLimit;
+    while (!Gate->isDrained() && Time.now() < GiveUp)
+      std::this_thread::sleep_for(DrainPoll);
+  }
+  Root.stop();
+}
+
+Daemon::Daemon(std::unique_ptr<Impl> Inner) : Inner(std::move(Inner)) {}
+
+Daemon::~Daemon() = default;
+
+Expected<std::unique_ptr<Daemon>> Daemon::create(const Settings &Own,
+                                                 const Clock &Time) {
+  const auto PeerKey = loadKey(Own.PeerKeyFile);
+  if (!PeerKey)
+    return tl::make_unexpected(PeerKey.error());
+  CallerKeys Callers;
+  if (!Own.CallerKeysFile.empty()) {
+    auto Read = loadCallerKeys(Own.CallerKeysFile);
+    if (!Read)
+      return tl::make_unexpected(Read.error());
+    Callers = std::move(*Read);
+  }
+  std::unique_ptr<FolderStore> Store;
+  if (!Own.DataFolder.empty()) {
+    RandomSource Random;
+    auto Opened = FolderStore::open(Own.DataFolder, FolderId(Random.fresh()));
+    if (!Opened)
+      return tl::make_unexpected(Opened.error());
+    Store = std::move(*Opened);
+  }
+  return std::unique_ptr<Daemon>(new Daemon(std::make_unique<Impl>(
+      Own, Time, PeerKey->secret(), std::move(Callers), std::move(Store))));
+}
+
+Expected<void> Daemon::start() { return Inner->start(); }
+
+void Daemon::stop() { Inner->stop(); }
+
+} // namespace tamarack
--- /dev/null
+++ b/packages/daemon/src/EndpointGate.cpp
@@ -0,0 +1,200 @@
+#include "EndpointGate.h"
+
+#include <spdlog/spdlog.h>
+
+namespace tamarack {
+namespace internal {
+namespace {
+
+constexpr Duration TickEvery = std::chrono::milliseconds(200);
+/// How long finished and void attempts are remembered. Longer than any order
+/// can be in flight, since a silent link is abandoned within seconds.
+constexpr Duration AttemptRetention = std::chrono::minutes(30);
+
+std::string textOf(const Expected<ExecuteReply> &Answer) {
+  if (Answer)
+    return Json{{"answer", *Answer}}.dump();
+  return Json{{"failure", Answer.error()}}.dump();
+}
+
+AttemptFate fateOf(const AttemptAnswer &Answer) {
+  AttemptFate Fate;
+  Fate.What = Answer.What;
+  if (Answer.What != AttemptAnswer::State::Finished)
+    return Fate;
+  const Json Kept = Json::parse(Answer.Answer, nullptr, false);
+  if (Kept.contains("answer"))
+    Fate.Answer = Kept["answer"].get<ExecuteReply>();
+  else
+    Fate.Failure = Kept.at("failure").get<Error>();
+  return Fate;
+}
+
+} // namespace
+
+EndpointGate::EndpointGate(EndpointSettings Endpoint, Incarnation Life,
+                           AdmissionLimits Limits, const Clock &Time)
+    : Client(std::move(Endpoint), Time), Time(Time), Admission(Limits) {
+  Attempts.Self = Life;
+  Housekeeper = std::thread([this] { keepHouse(); });
+}
+
+EndpointGate::~EndpointGate() {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Stopping = true;
+    Changed.notify_all();
+  }
+  Housekeeper.join();
+}
+
+void EndpointGate::carryOut(const AdmissionActions &Actions) {
+  for (const AdmissionAction &Action : Actions) {
+    if (const auto *Send = std::get_if<SendCall>(&Action)) {
+      Tickets[Send->Id].Started = true;
+    } else if (const auto *Refused = std::get_if<RefuseCall>(&Action)) {
+      const auto Ticket = Tickets.find(Refused->Id);
+      if (Ticket != Tickets.end())
+        Ticket->second.Refused = Refused->Failure;
+    }
+  }
+  Changed.notify_all();
+}
+
+Expected<void> EndpointGate::await(const ExecuteOrder &Order,
+                                   std::unique_lock<std::mutex> &Lock) {
+  const TimePoint Now = Time.now();
+  if (auto Admitted = admitAttempt(Attempts, Order.Id, Order.Target, Now);
+      !Admitted)
+    return Admitted;
+  Tickets[Order.Id] = Ticket();
+  carryOut(onArrival(Admission,
+                     {Order.Id, Order.Class, Order.Attained, Order.PromptTokens,
+                      0, Order.MaxTokens, Now, Now + Order.Remaining},
+                     Now));
+  Changed.wait(Lock, [this, &Order] {
+    const Ticket &Own = Tickets[Order.Id];
+    return Own.Started || Own.Refused;
+  });
+  const Ticket Own = Tickets[Order.Id];
+  Tickets.erase(Order.Id);
+  if (Own.Refused) {
+    const auto Voided = voidAttempt(Attempts, Order.Id, Time.now());
+    Error Why = *Own.Refused;
+    Why.Proof = Voided ? NotRun::Proved : NotRun::Unproved;
+    return tl::make_unexpected(Why);
+  }
+  if (auto Marked = markSent(Attempts, Order.Id, Time.now()); !Marked) {
+    carryOut(onFinished(Admission, Order.Id, 0, Time.now()));
+    return Marked;
+  }
+  return {};
+}
+
+Expected<ExecuteReply>
+EndpointGate::send(const ExecuteOrder &Order,
+                   const std::function<bool(const CallPart &)> &Part) {
+  if (Order.Kind == CallKind::Service)
+    return Client.runService(Order);
+  EngineProgress Progress;
+  Progress.FirstToken = [this, &Order] {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    onFirstToken(Admission, Order.Id, Time.now());
+  };
+  Progress.TokenTime = [this](Duration Between) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    carryOut(onTokenTime(Admission, Between, Time.now()));
+  };
+  Progress.Part = [&Part](const CallPart &Piece) { Part(Piece); };
+  return Client.runChat(Order, Progress);
+}
+
+void EndpointGate::finish(const AttemptId &Id,
+                          const Expected<ExecuteReply> &Answer) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  markFinished(Attempts, Id, textOf(Answer), Time.now());
+  const TokenCount Produced = Answer ? Answer->Use.Completion : 0;
+  carryOut(onFinished(Admission, Id, Produced, Time.now()));
+  ++Counts.Executed;
+  if (!Answer)
+    return;
+  Counts.PromptTokens += Answer->Use.Prompt;
+  Counts.CachedTokens += Answer->Use.Cached;
+}
+
+Expected<ExecuteReply>
+EndpointGate::execute(const ExecuteOrder &Order,
+                      const std::function<bool(const CallPart &)> &Part) {
+  {
+    std::unique_lock<std::mutex> Lock(Mutex);
+    if (auto Admitted = await(Order, Lock); !Admitted) {
+      ++Counts.Refused;
+      return tl::make_unexpected(Admitted.error());
+    }
+  }
+  Expected<ExecuteReply> Answer = send(Order, Part);
+  finish(Order.Id, Answer);
+  if (Answer)
+    Answer->Load = load();
+  return Answer;
+}
+
+AttemptFate EndpointGate::ask(const AskOrder &Order) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  const AttemptAnswer Answer =
+      askAttempt(Attempts, Order.Id, Order.Target, Time.now());
+  if (Answer.What == AttemptAnswer::State::NeverSent) {
+    ++Counts.Voided;
+    // A thread that waits in the queue learns that its attempt is void.
+    carryOut(onCancel(Admission, Order.Id, Time.now()));
+  }
+  return fateOf(Answer);
+}
+
+void EndpointGate::release(const ReleaseOrder &Order) {
+  for (const ProgramId &Program : Order.Programs) {
+    if (const auto Done = Client.releaseCache(Program); !Done) {
+      spdlog::warn("endpoint: cache of {} was not released: {}", Program.text(),
+                   Done.error().Message);
+      continue;
+    }
+    std::lock_guard<std::mutex> Lock(Mutex);
+    ++Counts.CacheReleased;
+  }
+}
+
+EndpointLoad EndpointGate::load() const {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  const QueueReport Now = report(Admission);
+  return {static_cast<std::uint32_t>(Now.Running),
+          static_cast<std::uint32_t>(Now.RunningLimit),
+          static_cast<std::uint32_t>(Now.Waiting),
+          Now.ExpectedWait[CallClass::Normal], Now.Draining};
+}
+
+GateCounts EndpointGate::counts() const {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  return Counts;
+}
+
+void EndpointGate::drain() {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  carryOut(onDrain(Admission, Time.now()));
+}
+
+bool EndpointGate::isDrained() const {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  return tamarack::isDrained(Admission);
+}
+
+void EndpointGate::keepHouse() {
+  std::unique_lock<std::mutex> Lock(Mutex);
+  while (!Stopping) {
+    Changed.wait_for(Lock, TickEvery, [this] { return Stopping; });
+    carryOut(onTick(Admission, Time.now()));
+    forgetAttempts(Attempts, Time.now(), AttemptRetention);
+  }
+}
+
+} // namespace internal
+} // namespace tamarack
--- /dev/null
+++ b/packages/daemon/src/Peers.h
@@ -0,0 +1,111 @@
+/// The links of one process to its peers, and what it knows of them.
+///
+/// Housekeeping runs on one thread: it reads the platform's list, opens links
+/// to members, and moves members that fall silent to suspected and gone. An
+/// entry connects to the entries and endpoint processes that it knows; an
+/// endpoint process only accepts connections.
+#ifndef TAMARACK_DAEMON_PEERS_H
+#define TAMARACK_DAEMON_PEERS_H
+
+#include "Platform.h"
+#include "tamarack/entry/Messages.h"
+#include "tamarack/entry/Ports.h"
+#include "tamarack/ledger/FolderStore.h"
+
+#include <condition_variable>
+#include <thread>
+
+namespace tamarack {
+namespace internal {
+
+struct PeerSettings {
+  Member Self;
+  LinkSettings Link;
+  MembershipTiming Timing;
+  /// How often the platform's list is read.
+  Duration ListEvery = std::chrono::seconds(2);
+};
+
+class Peers : public Directory, public CopyAccess, public EndpointAccess {
+public:
+  Peers(PeerSettings Settings, Platform &Service, const Clock &Time);
+  ~Peers() override;
+
+  /// Starts to accept connections and to keep house. \p Own is the store of
+  /// this process; null where it has none.
+  Expected<std::uint16_t> start(FolderStore *Own);
+  void stop();
+
+  /// Register handlers here before start().
+  LinkServer &server() { return Server; }
+  void setLoadSource(std::function<EndpointLoad()> Source);
+  void setLeaving();
+  bool isLeaving() const;
+
+  /// The link to \p Instance, or nothing when its address is not known.
+  std::shared_ptr<LinkClient> link(const InstanceId &Instance);
+
+  Member self() const override;
+  MemberTable members() const override;
+
+  Expected<void> seal(const CopyPlace &At, ShardId Shard,
+                      Epoch Version) override;
+  Expected<void> append(const CopyPlace &At, ShardId Shard,
+                        const std::vector<Append> &Entries) override;
+  Expected<void> install(const CopyPlace &At, ShardId Shard,
+                         const Install &Change) override;
+  Expected<std::map<ProgramId, std::vector<Record>>>
+  readAll(const CopyPlace &At, ShardId Shard) override;
+
+  std::vector<EndpointView> views(const std::string &Target) override;
+  Expected<ExecuteReply> execute(const InstanceId &At,
+                                 const ExecuteOrder &Order,
+                                 const PartSink &OnPart) override;
+  Expected<AttemptFate> ask(const InstanceId &At,
+                            const AskOrder &Order) override;
+  void release(const InstanceId &At, const ReleaseOrder &Order) override;
+
+private:
+  struct KnownLoad {
+    EndpointLoad Load;
+    TimePoint ReportedAt;
+    Duration OwnSentSince{0};
+  };
+
+  Json ownState(bool First) const;
+  void onPeerState(const Json &Body);
+  void keepHouse();
+  void readList();
+  void openLinks();
+  void noteLoad(const InstanceId &Instance, const EndpointLoad &Load);
+  bool isOwn(const CopyPlace &At) const;
+
+  template <typename Message>
+  Expected<typename Message::Reply> callPeer(const InstanceId &To,
+                                             const Message &Order);
+
+  const PeerSettings Settings;
+  Platform &Service;
+  const Clock &Time;
+  FolderStore *Own = nullptr;
+
+  /// Outlives the links that run on it.
+  WireLoop Loop;
+  mutable std::mutex Mutex;
+  MemberTable Table;
+  std::map<InstanceId, KnownLoad> Loads;
+  std::map<InstanceId, std::pair<LinkAddress, std::shared_ptr<LinkClient>>>
+      Links;
+  std::function<EndpointLoad()> LoadSource;
+  bool Leaving = false;
+  bool Stopping = false;
+  std::condition_variable Wake;
+
+  LinkServer Server;
+  std::thread Housekeeper;
+};
+
+} // namespace internal
+} // namespace tamarack
+
+#endif // TAMARACK_DAEMON_PEERS_H
--- a/packages/wire/include/tamarack/wire/Link.h
+++ b/packages/wire/include/tamarack/wire/Link.h
@@ -38,6 +38,10 @@
   WireLoop(const WireLoop &) = delete;
   WireLoop &operator=(const WireLoop &) = delete;
 
+  /// Ends the thread. No hook is called afterwards, so whatever the hooks use
+  /// may be destroyed then.
+  void stop();
+
   struct Impl;
   Impl &impl() const { return *State; }
 
@@ -65,7 +69,9 @@
 /// What an end tells and hears with heartbeats. Called on the loop's thread,
 /// so these must not block.
 struct LinkHooks {
-  std::function<Json()> OwnState;
+  /// Gives the state to tell; the argument says whether it is the first one
+  /// on its connection.
+  std::function<Json(bool)> OwnState;
   std::function<void(const Json &)> PeerState;
 };
 
--- a/packages/wire/src/LinkClient.cpp
+++ b/packages/wire/src/LinkClient.cpp
@@ -93,7 +93,7 @@
       Hearing = {Time.now(), Settings.SilenceLimit};
       Changed.notify_all();
     }
-    sendHeartbeat();
+    sendHeartbeat(true);
     scheduleBeat();
   }
 
@@ -150,8 +150,8 @@
     Waiting->Arrived.notify_all();
   }
 
-  void sendHeartbeat() {
-    const Json Own = Hooks.OwnState ? Hooks.OwnState() : Json::object();
+  void sendHeartbeat(bool First) {
+    const Json Own = Hooks.OwnState ? Hooks.OwnState(First) : Json::object();
     std::lock_guard<std::mutex> Lock(Mutex);
     ++Counts.Heartbeats;
     send({FrameKind::Heartbeat, 0, "", Own});
@@ -190,7 +190,7 @@
         return;
       }
     }
-    sendHeartbeat();
+    sendHeartbeat(false);
     scheduleBeat();
   }
 
--- a/packages/wire/src/LinkServer.cpp
+++ b/packages/wire/src/LinkServer.cpp
@@ -4,6 +4,7 @@
 #include <Poco/Runnable.h>
 #include <Poco/ThreadPool.h>
 #include <atomic>
+#include <condition_variable>
 #include <map>
 #include <set>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -16,6 +17,8 @@
 using Handle = websocketpp::connection_hdl;
 
 constexpr int IdleThreads = 4;
+/// How long a stop waits for peers to agree that connections end.
+constexpr Duration CloseLimit = std::chrono::seconds(1);
 
 /// Compares in a time that does not depend on where the texts differ.
 bool isSameKey(const std::string &Left, const std::string &Right) {
@@ -69,12 +72,12 @@
       if (const auto Self = Weak.lock())
         Self->onOpen(From);
     });
-    const auto Ended = [Weak](Handle From) {
+    const auto OnEnded = [Weak](Handle From) {
       if (const auto Self = Weak.lock())
         Self->onEnded(From);
     };
-    Endpoint.set_close_handler(Ended);
-    Endpoint.set_fail_handler(Ended);
+    Endpoint.set_close_handler(OnEnded);
+    Endpoint.set_fail_handler(OnEnded);
     Endpoint.set_message_handler(
         [Weak](Handle From, Socket::message_ptr Message) {
           if (const auto Self = Weak.lock())
@@ -105,7 +108,7 @@
       std::lock_guard<std::mutex> Lock(Mutex);
       Peers[From] = {{Time.now(), Settings.SilenceLimit}, {}};
     }
-    send(From, {FrameKind::Heartbeat, 0, "", ownState()});
+    send(From, {FrameKind::Heartbeat, 0, "", ownState(true)});
   }
 
   void onEnded(const Handle &From) {
@@ -116,10 +119,11 @@
     for (auto &[Exchange, Abandoned] : Found->second.Running)
       *Abandoned = true;
     Peers.erase(Found);
+    Ended.notify_all();
   }
 
-  Json ownState() const {
-    return Hooks.OwnState ? Hooks.OwnState() : Json::object();
+  Json ownState(bool First) const {
+    return Hooks.OwnState ? Hooks.OwnState(First) : Json::object();
   }
 
   void onMessage(const Handle &From, const std::string &Bytes) {
@@ -180,7 +184,7 @@
             .push_back(From);
       Counts.Abandoned += Silent.size();
     }
-    const Json Own = ownState();
+    const Json Own = ownState(false);
     for (const Handle &To : Heard)
       send(To, {FrameKind::Heartbeat, 0, "", Own});
     for (const Handle &From : Silent) {
@@ -206,6 +210,8 @@
   std::map<std::string, Handler> Handlers;
 
   mutable std::mutex Mutex;
+  /// Notified when a connection has ended.
+  std::condition_variable Ended;
   std::map<Handle, Peer, std::owner_less<Handle>> Peers;
   LinkCounts Counts;
 };
@@ -338,6 +344,12 @@
   }
   for (const Handle &From : Open)
     State->close(From);
+  {
+    // Answers that are still being written go out before the close.
+    std::unique_lock<std::mutex> Lock(State->Mutex);
+    State->Ended.wait_for(Lock, CloseLimit,
+                          [this] { return State->Peers.empty(); });
+  }
   boost::asio::post(State->Context, [Self = State] { Self->Beat.cancel(); });
 }
 
--- a/packages/wire/src/WireLoop.cpp
+++ b/packages/wire/src/WireLoop.cpp
@@ -7,7 +7,11 @@
   Loop.Runner = std::thread([&Loop] { Loop.Context.run(); });
 }
 
-WireLoop::~WireLoop() {
+WireLoop::~WireLoop() { stop(); }
+
+void WireLoop::stop() {
+  if (!State->Runner.joinable())
+    return;
   State->Work.reset();
   State->Context.stop();
   State->Runner.join();
