--- a/packages/config/src/SchemaCheck.cpp
+++ b/packages/config/src/SchemaCheck.cpp
@@ -113,6 +113,7 @@
                          expectedAt(Schema, *Steps)};
     }
   std::vector<SettingsMistake> Mistakes;
+  Mistakes.reserve(ByPath.size());
   for (auto &Entry : ByPath)
     Mistakes.push_back(std::move(Entry.second));
   return Mistakes;
--- a/packages/config/src/Settings.cpp
+++ b/packages/config/src/Settings.cpp
@@ -1,6 +1,7 @@
 #include "tamarack/config/Settings.h"
 
 #include "SchemaCheck.h"
+#include "StrictJson.h"
 
 #include <fstream>
 #include <map>
@@ -180,6 +181,19 @@
   return Mistakes{{"", std::move(Found), std::move(Expected)}};
 }
 
+SettingsOutcome withRepeatedKeys(SettingsOutcome Outcome,
+                                 const std::vector<std::string> &Pointers) {
+  if (Pointers.empty())
+    return Outcome;
+  Mistakes Found;
+  if (const Mistakes *Others = mistakesIn(Outcome))
+    Found = *Others;
+  for (const std::string &Pointer : Pointers)
+    Found.push_back({Pointer, "the key more than once", "the key once"});
+  internal::sortMistakes(Found);
+  return Found;
+}
+
 } // namespace
 
 std::ostream &operator<<(std::ostream &Out, const SettingsMistake &Mistake) {
@@ -202,11 +216,11 @@
   std::stringstream Text;
   if (!File || !(Text << File.rdbuf()))
     return wholeDocument("no readable file " + Path, "a file of settings");
-  try {
-    return parseSettings(Json::parse(Text.str()));
-  } catch (const Json::parse_error &Failure) {
-    return wholeDocument(Failure.what(), "a JSON document");
-  }
+  const internal::StrictJson Parsed = internal::parseStrictJson(Text.str());
+  if (!Parsed.Failure.empty())
+    return wholeDocument(Parsed.Failure, "a JSON document");
+  SettingsOutcome Outcome = parseSettings(Parsed.Value);
+  return withRepeatedKeys(std::move(Outcome), Parsed.RepeatedKeys);
 }
 
 const std::vector<SettingsMistake> *mistakesIn(const SettingsOutcome &Outcome) {
--- a/packages/config/test/SettingsTest.cpp
+++ b/packages/config/test/SettingsTest.cpp
@@ -1,5 +1,7 @@
 #include "tamarack/config/Settings.h"
 
+#include "TemporaryFolder.h"
+
 #include <boost/test/unit_test.hpp>
 #include <map>
 
@@ -165,5 +167,17 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AKeyThatStandsTwiceIsAMistake) {
+  const TemporaryFolder Folder;
+  std::string Text = entryDocument().dump();
+  Text.insert(1, R"("platform": {"port": 1, "port": 2}, )");
+  const SettingsOutcome Outcome =
+      loadSettings(Folder.write("settings.json", Text));
+  BOOST_TEST(textOf(Outcome) ==
+             "/platform: found the key more than once, expected the key once\n"
+             "/platform/port: found the key more than once, expected the key "
+             "once\n");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 BOOST_AUTO_TEST_SUITE_END()
