--- a/packages/config/src/Settings.cpp
+++ b/packages/config/src/Settings.cpp
@@ -14,11 +14,14 @@
 using internal::quoted;
 using Mistakes = std::vector<SettingsMistake>;
 
-/// The value at \p Key, or the schema's default for it.
+/// The value at \p Key, or the schema's default for it. Null where there is
+/// neither, as for the optional keys of the endpoint.
 Json valueAt(const Json &Document, const char *Key) {
   if (Document.contains(Key))
     return Document[Key];
-  return settingsSchema()["properties"][Key].value("default", Json());
+  const Json &Known = settingsSchema()["properties"];
+  const auto Property = Known.find(Key);
+  return Property == Known.end() ? Json() : Property->value("default", Json());
 }
 
 template <typename T>
--- a/packages/config/test/SettingsTest.cpp
+++ b/packages/config/test/SettingsTest.cpp
@@ -81,6 +81,18 @@
   BOOST_TEST(Own.Endpoint->MemoryTokens == 400000U);
 }
 
+BOOST_AUTO_TEST_CASE(AServiceHasNoMemoryOfTokens) {
+  Json Document = endpointDocument();
+  Document["endpoint"].erase("memory_tokens");
+  Document["endpoint"]["kind"] = "service";
+  Document["endpoint"]["repeatable"] = false;
+  const SettingsOutcome Outcome = parseSettings(Document);
+  BOOST_REQUIRE(mistakesIn(Outcome) == nullptr);
+  const auto &Endpoint = *std::get<Settings>(Outcome).Endpoint;
+  BOOST_TEST(Endpoint.MemoryTokens == 0);
+  BOOST_TEST(!Endpoint.Repeatable);
+}
+
 BOOST_AUTO_TEST_SUITE(Mistakes)
 
 struct Case {
--- a/packages/daemon/src/Peers.cpp
+++ b/packages/daemon/src/Peers.cpp
@@ -30,7 +30,7 @@
 
 Expected<std::uint16_t> Peers::start(FolderStore *Store) {
   Own = Store;
-  const auto Port = Server.listen({Settings.Self.Host, Settings.Self.Port});
+  auto Port = Server.listen({Settings.Self.Host, Settings.Self.Port});
   if (!Port)
     return Port;
   readList();
--- a/packages/entry/src/Owner.cpp
+++ b/packages/entry/src/Owner.cpp
@@ -42,7 +42,7 @@
                   std::function<std::string()> Fresh,
                   std::function<std::uint64_t()> Draw)
     : Shards(Shards), Endpoints(Endpoints), Peers(Peers), Time(Time),
-      Settings(std::move(Settings)), Fresh(std::move(Fresh)),
+      Settings(Settings), Fresh(std::move(Fresh)),
       Draw(std::move(Draw)) {}
 
 Owner::Owner(ShardTable &Shards, EndpointAccess &Endpoints, Directory &Peers,
@@ -50,7 +50,7 @@
              std::function<std::string()> Fresh,
              std::function<std::uint64_t()> Draw)
     : State(std::make_unique<Impl>(Shards, Endpoints, Peers, Time,
-                                   std::move(Settings), std::move(Fresh),
+                                   Settings, std::move(Fresh),
                                    std::move(Draw))) {}
 
 Owner::~Owner() = default;
@@ -215,11 +215,12 @@
 
 Expected<void> Owner::Impl::end(const ServedFamily &Where,
                                 const ProgramId &Program) {
-  const auto Written =
-      record(Where, {Record{Program, Ended{EndReason::Requested}}});
-  if (Written)
-    releaseEverywhere(Where.Held->State);
-  return Written;
+  if (auto Written =
+          record(Where, {Record{Program, Ended{EndReason::Requested}}});
+      !Written)
+    return Written;
+  releaseEverywhere(Where.Held->State);
+  return {};
 }
 
 void Owner::Impl::releaseEverywhere(const Family &Now) {
