--- a/packages/ledger/include/tamarack/ledger/CopyLog.h
+++ b/packages/ledger/include/tamarack/ledger/CopyLog.h
@@ -26,8 +26,10 @@
   Epoch Sealed = 0;
   /// By root program.
   std::map<ProgramId, std::vector<Record>> Logs;
+  /// The epoch at which each log changed last.
+  std::map<ProgramId, Epoch> ChangedAt;
 
-  auto tied() const { return std::tie(Sealed, Logs); }
+  auto tied() const { return std::tie(Sealed, Logs, ChangedAt); }
 };
 
 struct Append {
@@ -56,9 +58,17 @@
 /// already; WrongSequence when it would leave a gap.
 Expected<void> appendTo(CopyShard &Copy, const Append &Next);
 /// Fenced at another epoch than the sealed one; WrongSequence when it would
-/// leave a gap.
+/// leave a gap. Only an epoch's first change of a log may replace records; a
+/// later one may only add to them and is Fenced otherwise, so that an install
+/// delivered late cannot undo what was appended after it.
 Expected<void> installTo(CopyShard &Copy, const Install &Change);
 
+/// Fenced when the copy has been sealed at another epoch. An owner that every
+/// named copy confirms after a request arrived still owned the shard when it
+/// arrived; only then may it answer "not run" from what it remembers, for a
+/// later owner may have run the same request since.
+Expected<void> confirmAt(const CopyShard &Copy, Epoch At);
+
 /// The checks alone, for whoever must write to disk before the state changes.
 Expected<void> checkSeal(const CopyShard &Copy, Epoch At);
 Expected<void> checkAppend(const CopyShard &Copy, const Append &Next);
--- a/packages/ledger/include/tamarack/ledger/FolderStore.h
+++ b/packages/ledger/include/tamarack/ledger/FolderStore.h
@@ -40,6 +40,8 @@
   Expected<void> seal(ShardId Shard, Epoch At);
   Expected<void> append(ShardId Shard, const Append &Next);
   Expected<void> install(ShardId Shard, const Install &Change);
+  /// Fenced when the shard has been sealed at another epoch; see confirmAt().
+  Expected<void> confirm(ShardId Shard, Epoch At) const;
   /// The log of \p Root, empty when there is none.
   Expected<std::vector<Record>> read(ShardId Shard,
                                      const ProgramId &Root) const;
--- a/packages/ledger/include/tamarack/ledger/Takeover.h
+++ b/packages/ledger/include/tamarack/ledger/Takeover.h
@@ -8,11 +8,20 @@
 ///   // Carry out every repair, then ask the endpoints of open calls whose
 ///   // fate is AskEndpoint, then serve.
 ///
-/// The rules rely on three duties of an owner:
-///  - it sends an attempt only after every named copy accepted its Intent;
+/// The rules rely on these duties of an owner:
+///  - it sends an attempt only after every named copy accepted its Intent, and
+///    never sends it again;
 ///  - it answers only after every named copy accepted the Result;
 ///  - it names a folder in the shard's record only after it has sealed it and
-///    installed every log of the shard in full, and has since appended to it.
+///    installed every log of the shard in full (installsTo()). From the moment
+///    it takes the logs to install until it has sealed every copy at the new
+///    version it counts no append as accepted, and then repeats those that
+///    wait;
+///  - it drops a copy only when the others have just confirmed (confirmAt());
+///  - it matches each answer of a copy to the exact request and version;
+///  - it answers "not run" from what it remembers only after every named copy
+///    confirmed, and not at all once it was fenced: a later owner may have run
+///    the same request. A recorded NotRun result needs no confirming.
 #ifndef TAMARACK_LEDGER_TAKEOVER_H
 #define TAMARACK_LEDGER_TAKEOVER_H
 
@@ -93,6 +102,12 @@
 Settlement settle(const ProgramId &Root, const std::vector<SealedLog> &Sealed,
                   std::size_t NamedCopies, Epoch At);
 
+/// The changes that bring a copy with the logs \p Held to the logs \p Wanted,
+/// for a folder that is to be named next; logs that are not wanted are emptied.
+std::vector<Install>
+installsTo(const std::map<ProgramId, std::vector<Record>> &Held,
+           const std::map<ProgramId, std::vector<Record>> &Wanted, Epoch At);
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CopyPlace, Folder, Instance)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ShardRecord, Version, Owner,
                                    OwnerIncarnation, Copies, Token)
--- a/packages/ledger/src/CopyLog.cpp
+++ b/packages/ledger/src/CopyLog.cpp
@@ -1,17 +1,11 @@
 #include "tamarack/ledger/CopyLog.h"
 
+#include <algorithm>
+
 namespace tamarack {
 
 namespace {
 
-Expected<void> checkEpoch(const CopyShard &Copy, Epoch At) {
-  if (At == Copy.Sealed && At != 0)
-    return {};
-  return refuse(ErrorKind::Fenced, "epoch " + std::to_string(At) +
-                                       " meets a copy sealed at " +
-                                       std::to_string(Copy.Sealed));
-}
-
 Expected<void> checkNoGap(const CopyShard &Copy, const ProgramId &Root,
                           std::uint64_t Index) {
   const std::size_t Length = logOf(Copy, Root).size();
@@ -22,8 +16,32 @@
                     std::to_string(Length) + " records");
 }
 
+/// Whether \p Root's log has changed since the copy was sealed at \p At.
+bool changedAt(const CopyShard &Copy, const ProgramId &Root, Epoch At) {
+  const auto Found = Copy.ChangedAt.find(Root);
+  return Found != Copy.ChangedAt.end() && Found->second == At;
+}
+
+/// Whether no record held is replaced by another.
+bool addsOnly(const CopyShard &Copy, const Install &Change) {
+  const std::vector<Record> &Log = logOf(Copy, Change.Root);
+  const std::size_t Shared =
+      std::min<std::size_t>(Log.size() - Change.From, Change.Tail.size());
+  const auto Held = Log.begin() + static_cast<std::ptrdiff_t>(Change.From);
+  return std::equal(Held, Held + static_cast<std::ptrdiff_t>(Shared),
+                    Change.Tail.begin());
+}
+
 } // namespace
 
+Expected<void> confirmAt(const CopyShard &Copy, Epoch At) {
+  if (At == Copy.Sealed && At != 0)
+    return {};
+  return refuse(ErrorKind::Fenced, "epoch " + std::to_string(At) +
+                                       " meets a copy sealed at " +
+                                       std::to_string(Copy.Sealed));
+}
+
 const std::vector<Record> &logOf(const CopyShard &Copy, const ProgramId &Root) {
   static const std::vector<Record> Empty;
   const auto Found = Copy.Logs.find(Root);
@@ -33,11 +51,11 @@
 Expected<void> checkSeal(const CopyShard &Copy, Epoch At) {
   if (At >= Copy.Sealed)
     return {};
-  return checkEpoch(Copy, At);
+  return confirmAt(Copy, At);
 }
 
 Expected<void> checkAppend(const CopyShard &Copy, const Append &Next) {
-  if (Expected<void> Checked = checkEpoch(Copy, Next.At); !Checked)
+  if (Expected<void> Checked = confirmAt(Copy, Next.At); !Checked)
     return Checked;
   if (Expected<void> Checked = checkNoGap(Copy, Next.Root, Next.Index);
       !Checked)
@@ -50,9 +68,15 @@
 }
 
 Expected<void> checkInstall(const CopyShard &Copy, const Install &Change) {
-  if (Expected<void> Checked = checkEpoch(Copy, Change.At); !Checked)
+  if (Expected<void> Checked = confirmAt(Copy, Change.At); !Checked)
+    return Checked;
+  if (Expected<void> Checked = checkNoGap(Copy, Change.Root, Change.From);
+      !Checked)
     return Checked;
-  return checkNoGap(Copy, Change.Root, Change.From);
+  if (!changedAt(Copy, Change.Root, Change.At) || addsOnly(Copy, Change))
+    return {};
+  return refuse(ErrorKind::Fenced,
+                "the log has changed at epoch " + std::to_string(Change.At));
 }
 
 Expected<void> sealAt(CopyShard &Copy, Epoch At) {
@@ -69,6 +93,7 @@
   std::vector<Record> &Log = Copy.Logs[Next.Root];
   if (Next.Index == Log.size())
     Log.push_back(Next.Entry);
+  Copy.ChangedAt[Next.Root] = Next.At;
   return {};
 }
 
@@ -76,11 +101,18 @@
   Expected<void> Checked = checkInstall(Copy, Change);
   if (!Checked)
     return Checked;
+  const bool Extends = changedAt(Copy, Change.Root, Change.At);
   std::vector<Record> &Log = Copy.Logs[Change.Root];
-  Log.resize(Change.From);
-  Log.insert(Log.end(), Change.Tail.begin(), Change.Tail.end());
+  const std::size_t Kept = Extends ? Log.size() - Change.From : 0;
+  if (!Extends)
+    Log.resize(Change.From);
+  if (Kept < Change.Tail.size())
+    Log.insert(Log.end(),
+               Change.Tail.begin() + static_cast<std::ptrdiff_t>(Kept),
+               Change.Tail.end());
   if (Log.empty())
     Copy.Logs.erase(Change.Root);
+  Copy.ChangedAt[Change.Root] = Change.At;
   return {};
 }
 
--- a/packages/ledger/src/FolderStore.cpp
+++ b/packages/ledger/src/FolderStore.cpp
@@ -61,7 +61,9 @@
   return Copy.Sealed == Change.At;
 }
 bool isDone(const CopyShard &Copy, const Append &Change) {
-  return Change.Index < logOf(Copy, Change.Root).size();
+  const auto ChangedAt = Copy.ChangedAt.find(Change.Root);
+  return Change.Index < logOf(Copy, Change.Root).size() &&
+         ChangedAt != Copy.ChangedAt.end() && ChangedAt->second == Change.At;
 }
 bool isDone(const CopyShard &, const Install &) { return false; }
 
@@ -274,6 +276,14 @@
   return (*Found)->change(Change, Inner->Options.SyncEveryAppend);
 }
 
+Expected<void> FolderStore::confirm(ShardId Shard, Epoch At) const {
+  StoredShard *Found = Inner->knownShard(Shard);
+  if (!Found)
+    return confirmAt(CopyShard(), At);
+  const std::lock_guard Guard(Found->Mutex);
+  return confirmAt(Found->Copy, At);
+}
+
 Expected<std::vector<Record>> FolderStore::read(ShardId Shard,
                                                 const ProgramId &Root) const {
   StoredShard *Found = Inner->knownShard(Shard);
--- a/packages/ledger/src/Settle.cpp
+++ b/packages/ledger/src/Settle.cpp
@@ -32,6 +32,7 @@
 /// The logs, the longest first, in an order that depends on content only.
 std::vector<const Log *> inOrder(const std::vector<SealedLog> &Sealed) {
   std::vector<const Log *> Logs;
+  Logs.reserve(Sealed.size());
   for (const SealedLog &Copy : Sealed)
     Logs.push_back(&Copy.Records);
   std::sort(Logs.begin(), Logs.end(), [](const Log *Left, const Log *Right) {
@@ -84,18 +85,21 @@
   return Open;
 }
 
+Install installOf(const Log &Held, const Log &Wanted, const ProgramId &Root,
+                  Epoch At) {
+  const std::size_t From = commonPrefix(Held, Wanted);
+  const auto Tail = Wanted.begin() + static_cast<std::ptrdiff_t>(From);
+  return {At, Root, From, Log(Tail, Wanted.end())};
+}
+
 std::vector<Repair> repairsTo(const Log &Agreed,
                               const std::vector<SealedLog> &Sealed,
                               const ProgramId &Root, Epoch At) {
   std::vector<Repair> Repairs;
-  for (const SealedLog &Copy : Sealed) {
-    if (Copy.Records == Agreed)
-      continue;
-    const std::size_t From = commonPrefix(Copy.Records, Agreed);
-    const auto Tail = Agreed.begin() + static_cast<std::ptrdiff_t>(From);
-    Repairs.push_back(
-        {Copy.Folder, Install{At, Root, From, Log(Tail, Agreed.end())}});
-  }
+  for (const SealedLog &Copy : Sealed)
+    if (Copy.Records != Agreed)
+      Repairs.push_back(
+          {Copy.Folder, installOf(Copy.Records, Agreed, Root, At)});
   return Repairs;
 }
 
@@ -127,4 +131,19 @@
   return Agreed;
 }
 
+std::vector<Install>
+installsTo(const std::map<ProgramId, std::vector<Record>> &Held,
+           const std::map<ProgramId, std::vector<Record>> &Wanted, Epoch At) {
+  std::map<ProgramId, std::pair<Log, Log>> Logs;
+  for (const auto &[Root, Records] : Held)
+    Logs[Root].first = Records;
+  for (const auto &[Root, Records] : Wanted)
+    Logs[Root].second = Records;
+  std::vector<Install> Changes;
+  for (const auto &[Root, Pair] : Logs)
+    if (Pair.first != Pair.second)
+      Changes.push_back(installOf(Pair.first, Pair.second, Root, At));
+  return Changes;
+}
+
 } // namespace tamarack
