--- a/packages/members/include/tamarack/members/Membership.h
+++ b/packages/members/include/tamarack/members/Membership.h
@@ -37,7 +37,7 @@
 /// One process of ours, as the platform's list and its peers describe it.
 struct Member {
   InstanceId Instance;
-  /// Zero where the source does not know it.
+  /// Grows with each start of the process; zero is older than any.
   Incarnation Life = 0;
   Role Kind = Role::Entry;
   RegionId Region;
@@ -59,11 +59,13 @@
   }
 };
 
+/// What the platform's lists have said about an instance so far.
+enum class Listing { NeverListed, Listed, Dropped };
+
 /// What one process knows about a member.
 struct MemberView {
   Member Known;
-  /// The platform's latest list named it.
-  bool Listed = false;
+  Listing Platform = Listing::NeverListed;
   /// This incarnation was Leaving at some time.
   bool EverLeaving = false;
   /// Empty until the first heartbeat of this incarnation.
@@ -72,7 +74,7 @@
   TimePoint StateSince;
 
   auto tied() const {
-    return std::tie(Known, Listed, EverLeaving, LastHeard, StateSince);
+    return std::tie(Known, Platform, EverLeaving, LastHeard, StateSince);
   }
 };
 
@@ -102,9 +104,9 @@
 };
 
 /// Takes in the platform's list. A listed member that has never been heard
-/// counts as live; one that has been heard and went silent does not come back
-/// by the list alone. A member that the list drops is gone, at once or as
-/// soon as its heartbeats stop.
+/// counts as live; one that went silent does not come back by the list alone.
+/// A member that the list drops is gone, at once or as soon as its heartbeats
+/// stop.
 MemberTable onPlatformList(MemberTable Table, const std::vector<Member> &List,
                            TimePoint Now);
 
@@ -124,7 +126,9 @@
 MemberTable onAnnouncedLeaving(MemberTable Table, const InstanceId &Instance,
                                Incarnation Life, TimePoint Now);
 
-/// Suspects the silent, gives up the long silent, forgets the long gone.
+/// Suspects the silent, gives up the long silent, forgets the long gone. A
+/// process that was itself paused suspects its peers first and gives them the
+/// rest of the time to be heard.
 MemberTable onTick(MemberTable Table, TimePoint Now);
 
 /// The members of \p Kind in \p Region whose state is \p Worst or better, in
--- a/packages/members/include/tamarack/members/Ownership.h
+++ b/packages/members/include/tamarack/members/Ownership.h
@@ -25,6 +25,10 @@
 std::vector<InstanceId> preference(ShardId Shard,
                                    const std::vector<InstanceId> &Entries);
 
+/// How many of \p Entries should own \p Shard before \p Self.
+std::size_t rankOf(ShardId Shard, const std::vector<InstanceId> &Entries,
+                   const InstanceId &Self);
+
 /// The first of preference(), without sorting the rest.
 std::optional<InstanceId>
 preferredOwner(ShardId Shard, const std::vector<InstanceId> &Entries);
@@ -94,6 +98,8 @@
   std::size_t OwnerlessShards = 1;
   std::size_t ClaimsInFlight = 0;
   std::size_t HandOversInFlight = 0;
+  /// A call waits for the shard: it is claimed without claimDelay().
+  bool Wanted = false;
 };
 
 struct ClaimDecision {
--- a/packages/members/src/Membership.cpp
+++ b/packages/members/src/Membership.cpp
@@ -48,10 +48,13 @@
   MemberView &View = Found->second;
   if (From.Life < View.Known.Life)
     return nullptr;
-  if (From.Life > View.Known.Life)
-    View = firstView(From, Now);
-  else
+  if (From.Life == View.Known.Life) {
     describe(View, From);
+    return &View;
+  }
+  const Listing Platform = View.Platform;
+  View = firstView(From, Now);
+  View.Platform = Platform;
   return &View;
 }
 
@@ -63,25 +66,25 @@
 
 void takeListed(MemberTable &Table, const Member &From, TimePoint Now) {
   MemberView *View = admit(Table, From, Now);
+  MemberView &Any = Table.Members[From.Instance];
+  const bool WasDropped = Any.Platform == Listing::Dropped;
+  Any.Platform = Listing::Listed;
   if (!View)
     return;
-  // Gone by the list alone: the list may bring it back.
-  const bool WasDropped = !View->Listed && !View->LastHeard &&
-                          View->Known.State == MemberState::Gone;
-  View->Listed = true;
-  if (From.State == MemberState::Leaving &&
-      View->Known.State != MemberState::Gone)
+  MemberState &State = View->Known.State;
+  if (From.State == MemberState::Leaving && State != MemberState::Gone)
     setState(*View, MemberState::Leaving, Now);
-  else if (WasDropped && From.State != MemberState::Gone)
+  // Gone by the list alone: the list may bring it back.
+  if (WasDropped && !View->LastHeard && State == MemberState::Gone)
     setState(*View, From.State, Now);
 }
 
 void dropUnlisted(MemberTable &Table, const std::set<InstanceId> &Named,
                   TimePoint Now) {
   for (auto &[Instance, View] : Table.Members) {
-    if (!View.Listed || Named.count(Instance))
+    if (View.Platform != Listing::Listed || Named.count(Instance))
       continue;
-    View.Listed = false;
+    View.Platform = Listing::Dropped;
     if (!isFresh(View, Table.Timing, Now))
       setState(View, MemberState::Gone, Now);
   }
@@ -90,7 +93,7 @@
 /// How long after its suspicion a member is given up.
 Duration givenUpAfter(const MemberView &View, const MembershipTiming &Timing) {
   // Silence and the platform's list agree.
-  if (!View.Listed && View.LastHeard)
+  if (View.Platform == Listing::Dropped)
     return Duration(0);
   return goneAfter(Timing) - suspectAfter(Timing);
 }
@@ -110,7 +113,8 @@
 
 bool isForgotten(const MemberView &View, const MembershipTiming &Timing,
                  TimePoint Now) {
-  return View.Known.State == MemberState::Gone && !View.Listed &&
+  return View.Known.State == MemberState::Gone &&
+         View.Platform != Listing::Listed &&
          Now - View.StateSince >= Timing.ForgetAfter;
 }
 
--- a/packages/members/src/Ownership.cpp
+++ b/packages/members/src/Ownership.cpp
@@ -12,10 +12,19 @@
 constexpr std::uint64_t CopySeed = 0x636f7079ULL;
 constexpr std::uint64_t DelaySeed = 0x64656c6179ULL;
 
-std::uint64_t weight(ShardId Shard, const InstanceId &Instance,
-                     std::uint64_t Seed) {
-  return stableHash(Instance.text(), stableHash(std::to_string(Shard), Seed));
-}
+/// Rendezvous weights of the instances for one shard.
+class Weights {
+public:
+  Weights(ShardId Shard, std::uint64_t Seed)
+      : ShardHash(stableHash(std::to_string(Shard), Seed)) {}
+
+  std::uint64_t of(const InstanceId &Instance) const {
+    return stableHash(Instance.text(), ShardHash);
+  }
+
+private:
+  std::uint64_t ShardHash;
+};
 
 /// Sorts the heaviest first; equal weights by name.
 using Weighted = std::pair<std::uint64_t, InstanceId>;
@@ -28,21 +37,26 @@
 
 std::vector<Member> inCopyOrder(ShardId Shard,
                                 const std::vector<Member> &From) {
+  const Weights Weigh(Shard, CopySeed);
   std::vector<std::pair<Weighted, Member>> Ranked;
   for (const Member &Place : From)
     if (!Place.Folder.empty())
-      Ranked.push_back(
-          {{weight(Shard, Place.Instance, CopySeed), Place.Instance}, Place});
+      Ranked.push_back({{Weigh.of(Place.Instance), Place.Instance}, Place});
   std::sort(Ranked.begin(), Ranked.end(),
             [](const auto &Left, const auto &Right) {
               return isHeavier(Left.first, Right.first);
             });
   std::vector<Member> Ordered;
+  Ordered.reserve(Ranked.size());
   for (auto &[Weight, Place] : Ranked)
     Ordered.push_back(std::move(Place));
   return Ordered;
 }
 
+bool isAmong(const InstanceId &Instance, const std::vector<InstanceId> &In) {
+  return std::find(In.begin(), In.end(), Instance) != In.end();
+}
+
 bool isLost(MemberState Copy) { return Copy >= MemberState::Leaving; }
 
 std::size_t usableCopies(const ClaimFacts &Facts) {
@@ -62,8 +76,7 @@
 /// The decision of the process that holds the shard.
 ClaimDecision decideHeld(const ClaimFacts &Facts, const ClaimLimits &Limits) {
   const auto Preferred = preferredOwner(Facts.Shard, Facts.Entries);
-  const bool Leaving = std::find(Facts.Entries.begin(), Facts.Entries.end(),
-                                 Facts.Self) == Facts.Entries.end();
+  const bool Leaving = !isAmong(Facts.Self, Facts.Entries);
   const bool Elsewhere = Preferred && *Preferred != Facts.Self;
   const bool Settled =
       Leaving || Facts.PreferredLiveFor >= Limits.HandOverAfter;
@@ -79,27 +92,28 @@
 }
 
 /// How long this entry leaves the shard to better-ranked ones.
-std::optional<Duration> headStart(const ClaimFacts &Facts,
-                                  const ClaimLimits &Limits) {
+Duration headStart(const ClaimFacts &Facts, const ClaimLimits &Limits) {
   // Handed over to this entry, or held by its predecessor.
   if (Facts.Owner == Facts.Self)
     return Duration(0);
-  const auto Order = preference(Facts.Shard, Facts.Entries);
-  const auto Own = std::find(Order.begin(), Order.end(), Facts.Self);
-  if (Own == Order.end())
-    return std::nullopt;
-  return Limits.SuspicionPeriod * (Own - Order.begin()) +
-         claimDelay(Facts.Shard, Facts.OwnerlessShards, Limits.ClaimsPerSecond);
+  const Duration Delay = Facts.Wanted
+                             ? Duration(0)
+                             : claimDelay(Facts.Shard, Facts.OwnerlessShards,
+                                          Limits.ClaimsPerSecond);
+  const auto Better = static_cast<Duration::rep>(
+      rankOf(Facts.Shard, Facts.Entries, Facts.Self));
+  return Limits.SuspicionPeriod * Better + Delay;
 }
 
 } // namespace
 
 std::vector<InstanceId> preference(ShardId Shard,
                                    const std::vector<InstanceId> &Entries) {
+  const Weights Weigh(Shard, OwnerSeed);
   std::vector<Weighted> Ranked;
   Ranked.reserve(Entries.size());
   for (const InstanceId &Entry : Entries)
-    Ranked.emplace_back(weight(Shard, Entry, OwnerSeed), Entry);
+    Ranked.emplace_back(Weigh.of(Entry), Entry);
   std::sort(Ranked.begin(), Ranked.end(), isHeavier);
   std::vector<InstanceId> Ordered;
   Ordered.reserve(Ranked.size());
@@ -108,12 +122,23 @@
   return Ordered;
 }
 
+std::size_t rankOf(ShardId Shard, const std::vector<InstanceId> &Entries,
+                   const InstanceId &Self) {
+  const Weights Weigh(Shard, OwnerSeed);
+  const Weighted Own(Weigh.of(Self), Self);
+  return std::count_if(Entries.begin(), Entries.end(),
+                       [&](const InstanceId &Entry) {
+                         return isHeavier({Weigh.of(Entry), Entry}, Own);
+                       });
+}
+
 std::optional<InstanceId>
 preferredOwner(ShardId Shard, const std::vector<InstanceId> &Entries) {
+  const Weights Weigh(Shard, OwnerSeed);
   const InstanceId *Best = nullptr;
   std::uint64_t BestWeight = 0;
   for (const InstanceId &Entry : Entries) {
-    const std::uint64_t Weight = weight(Shard, Entry, OwnerSeed);
+    const std::uint64_t Weight = Weigh.of(Entry);
     const bool Better =
         !Best || Weight > BestWeight || (Weight == BestWeight && Entry < *Best);
     if (!Better)
@@ -149,15 +174,15 @@
                               Facts.OwnerState != MemberState::Gone;
   if (OwnedElsewhere)
     return wait(Duration(0), "the owner is there");
-  const auto HeadStart = headStart(Facts, Limits);
-  if (!HeadStart)
+  if (!isAmong(Facts.Self, Facts.Entries))
     return wait(Duration(0), "this entry is leaving");
-  if (Facts.OwnerlessFor < *HeadStart)
-    return wait(*HeadStart - Facts.OwnerlessFor, "another entry goes first");
+  const Duration HeadStart = headStart(Facts, Limits);
+  if (Facts.OwnerlessFor < HeadStart)
+    return wait(HeadStart - Facts.OwnerlessFor, "another claim goes first");
   if (!Facts.Copies.empty() && usableCopies(Facts) == 0)
     return wait(Limits.SuspicionPeriod, "no copy can be reached");
   if (Facts.ClaimsInFlight >= Limits.ClaimsInFlight)
-    return wait(Limits.SuspicionPeriod, "enough claims are in flight");
+    return wait(Duration(0), "enough claims are in flight");
   return {ClaimAction::Claim, Duration(0), std::nullopt,
           Facts.Owner ? "the owner is gone" : "nobody owns it"};
 }
--- /dev/null
+++ b/packages/members/test/MembershipTest.cpp
@@ -0,0 +1,274 @@
+#include "tamarack/members/Membership.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+namespace tamarack {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint at(int Milliseconds) { return TimePoint(milliseconds(Milliseconds)); }
+
+Member entry(const std::string &Name, Incarnation Life = 1,
+             MemberState State = MemberState::Live) {
+  Member Built;
+  Built.Instance = InstanceId(Name);
+  Built.Life = Life;
+  Built.Region = RegionId("andes");
+  Built.DataCentre = DataCentreId("andes-a");
+  Built.Host = "10.0.0.1";
+  Built.Port = 7100;
+  Built.State = State;
+  return Built;
+}
+
+const InstanceId A("a");
+
+/// One event about instance a, for tables and drawn histories.
+struct Event {
+  enum Kind { List, ListLeaving, ListDrop, Introduce, Beat, Lost, Leave, Tick };
+  Kind What;
+  int AtMs = 0;
+  Incarnation Life = 1;
+};
+
+MemberTable apply(MemberTable Table, const Event &Next) {
+  const TimePoint Now = at(Next.AtMs);
+  switch (Next.What) {
+  case Event::List:
+    return onPlatformList(std::move(Table), {entry("a", Next.Life)}, Now);
+  case Event::ListLeaving:
+    return onPlatformList(std::move(Table),
+                          {entry("a", Next.Life, MemberState::Leaving)}, Now);
+  case Event::ListDrop:
+    return onPlatformList(std::move(Table), {}, Now);
+  case Event::Introduce:
+    return onIntroduction(std::move(Table), entry("a", Next.Life), Now);
+  case Event::Beat:
+    return onHeartbeat(std::move(Table), A, Next.Life, Now);
+  case Event::Lost:
+    return onLinkLost(std::move(Table), A, Now);
+  case Event::Leave:
+    return onAnnouncedLeaving(std::move(Table), A, Next.Life, Now);
+  case Event::Tick:
+    break;
+  }
+  return onTick(std::move(Table), Now);
+}
+
+MemberState stateAfter(const std::vector<Event> &Events) {
+  MemberTable Table;
+  for (const Event &Next : Events)
+    Table = apply(std::move(Table), Next);
+  return stateOf(Table, A);
+}
+
+struct Row {
+  const char *Story;
+  std::vector<Event> Events;
+  MemberState Expected;
+};
+
+void check(const std::vector<Row> &Rows) {
+  for (const Row &Case : Rows) {
+    BOOST_TEST_INFO(Case.Story);
+    BOOST_TEST(stateAfter(Case.Events) == Case.Expected);
+  }
+}
+
+std::vector<Event> drawHistory() {
+  const int Count = *rc::gen::inRange(1, 60);
+  std::vector<Event> Events;
+  int NowMs = 0;
+  for (int I = 0; I < Count; ++I) {
+    NowMs += *rc::gen::element(0, 50, 500, 1500, 4000);
+    Events.push_back({static_cast<Event::Kind>(*rc::gen::inRange(0, 8)), NowMs,
+                      *rc::gen::inRange<Incarnation>(1, 4)});
+  }
+  return Events;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Membership)
+
+BOOST_AUTO_TEST_SUITE(TheListProposes)
+
+BOOST_AUTO_TEST_CASE(ListedMembersCountUntilSilenceOrTheListSaysOtherwise) {
+  check({
+      {"an unknown instance is gone", {}, MemberState::Gone},
+      {"listed and never heard", {{Event::List}}, MemberState::Live},
+      {"listed, no connection can be opened",
+       {{Event::List}, {Event::Lost, 10}},
+       MemberState::Suspected},
+      {"nor for long, and the list still names it",
+       {{Event::List},
+        {Event::Lost, 10},
+        {Event::Tick, 1510},
+        {Event::List, 2}},
+       MemberState::Gone},
+      {"dropped", {{Event::List}, {Event::ListDrop, 10}}, MemberState::Gone},
+      {"dropped and listed again",
+       {{Event::List}, {Event::ListDrop, 10}, {Event::List, 20}},
+       MemberState::Live},
+      {"dropped while its heartbeats arrive",
+       {{Event::List}, {Event::Beat, 10}, {Event::ListDrop, 20}},
+       MemberState::Live},
+      {"dropped and then silent",
+       {{Event::List},
+        {Event::Beat, 10},
+        {Event::ListDrop, 20},
+        {Event::Tick, 1510}},
+       MemberState::Gone},
+      {"listed as leaving", {{Event::ListLeaving}}, MemberState::Leaving},
+      {"heard, then listed as leaving",
+       {{Event::List}, {Event::Beat, 10}, {Event::ListLeaving, 20}},
+       MemberState::Leaving},
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(HeartbeatsConfirm)
+
+BOOST_AUTO_TEST_CASE(SilenceIsSuspectedThenGivenUpAndAHeartbeatBringsItBack) {
+  const Event Heard{Event::Introduce, 0};
+  check({
+      {"just short of three periods",
+       {Heard, {Event::Tick, 1499}},
+       MemberState::Live},
+      {"three periods", {Heard, {Event::Tick, 1500}}, MemberState::Suspected},
+      {"six periods",
+       {Heard, {Event::Tick, 1500}, {Event::Tick, 3000}},
+       MemberState::Gone},
+      {"suspected and heard",
+       {Heard, {Event::Tick, 1500}, {Event::Beat, 1600}},
+       MemberState::Live},
+      {"gone and heard",
+       {Heard, {Event::Tick, 1500}, {Event::Tick, 3000}, {Event::Beat, 3100}},
+       MemberState::Live},
+      {"gone and only listed",
+       {Heard, {Event::Tick, 1500}, {Event::Tick, 3000}, {Event::List, 3100}},
+       MemberState::Gone},
+      {"a broken connection needs no silence",
+       {Heard, {Event::Lost, 100}},
+       MemberState::Suspected},
+      {"this process was paused itself: peers are suspected first",
+       {Heard, {Event::Tick, 60000}},
+       MemberState::Suspected},
+      {"and have the rest of the time to be heard",
+       {Heard,
+        {Event::Tick, 60000},
+        {Event::Beat, 60100},
+        {Event::Tick, 61500}},
+       MemberState::Live},
+  });
+}
+
+BOOST_AUTO_TEST_CASE(TheLongGoneAreForgottenOnceUnlisted) {
+  MemberTable Table = onIntroduction({}, entry("a"), at(0));
+  Table = onTick(std::move(Table), at(1500));
+  Table = onTick(std::move(Table), at(3000));
+  Table = onTick(std::move(Table), at(602999));
+  BOOST_TEST(Table.Members.size() == 1U);
+  Table = onTick(std::move(Table), at(603000));
+  BOOST_TEST(Table.Members.size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(RestartsAndLeaving)
+
+BOOST_AUTO_TEST_CASE(ANewIncarnationReplacesTheOldOneForGood) {
+  check({
+      {"a leaving process is restarted",
+       {{Event::ListLeaving}, {Event::Introduce, 10, 2}},
+       MemberState::Live},
+      {"the list still shows the old one leaving",
+       {{Event::List}, {Event::Introduce, 10, 2}, {Event::ListLeaving, 20}},
+       MemberState::Live},
+      {"the old one's last word arrives late",
+       {{Event::Introduce, 0, 2}, {Event::Leave, 10, 1}},
+       MemberState::Live},
+      {"the old one's heartbeat does not hide the new one's silence",
+       {{Event::Introduce, 0, 2}, {Event::Beat, 1400}, {Event::Tick, 1500}},
+       MemberState::Suspected},
+  });
+  const MemberTable Table = onIntroduction({}, entry("a", 2), at(0));
+  BOOST_TEST(stateOf(Table, A, 1) == MemberState::Gone);
+  BOOST_TEST(stateOf(Table, A, 2) == MemberState::Live);
+}
+
+BOOST_AUTO_TEST_CASE(LeavingIsNeverTakenBackInTheSameIncarnation) {
+  BOOST_TEST(rc::check([] {
+    MemberTable Table;
+    std::map<Incarnation, bool> Left;
+    for (const Event &Next : drawHistory()) {
+      Table = apply(std::move(Table), Next);
+      if (!Table.Members.count(A))
+        continue;
+      const Member &Known = Table.Members[A].Known;
+      if (Known.State == MemberState::Leaving)
+        Left[Known.Life] = true;
+      RC_ASSERT(!Left[Known.Life] || Known.State >= MemberState::Leaving);
+    }
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(TheBelievedIncarnationNeverDecreases) {
+  BOOST_TEST(rc::check([] {
+    MemberTable Table;
+    Table.Timing.ForgetAfter = std::chrono::hours(1);
+    Incarnation Highest = 0;
+    for (const Event &Next : drawHistory()) {
+      Table = apply(std::move(Table), Next);
+      const auto Found = Table.Members.find(A);
+      const Incarnation Life =
+          Found == Table.Members.end() ? 0 : Found->second.Known.Life;
+      RC_ASSERT(Life >= Highest);
+      Highest = Life;
+    }
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(TheView)
+
+BOOST_AUTO_TEST_CASE(MembersAreSelectedByStateRoleAndRegion) {
+  Member Remote = entry("far");
+  Remote.Region = RegionId("costa");
+  Member Slot = entry("slot");
+  Slot.Kind = Role::Endpoint;
+  const MemberTable Table =
+      onLinkLost(onPlatformList({},
+                                {entry("b", 1, MemberState::Leaving),
+                                 entry("c"), entry("a"), Remote, Slot},
+                                at(0)),
+                 InstanceId("c"), at(1));
+  const auto CountOf = [&](MemberState Worst) {
+    return membersIn(Table, Worst, Role::Entry, RegionId("andes")).size();
+  };
+  BOOST_TEST(CountOf(MemberState::Live) == 1U);
+  BOOST_TEST(CountOf(MemberState::Suspected) == 2U);
+  BOOST_TEST(CountOf(MemberState::Leaving) == 3U);
+  BOOST_TEST(membersIn(Table, MemberState::Live, Role::Entry).size() == 2U);
+  BOOST_TEST(membersIn(Table, MemberState::Live, Role::Endpoint).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AMemberSurvivesJson) {
+  Member Full = entry("a", 7, MemberState::Leaving);
+  Full.Kind = Role::Endpoint;
+  Full.Folder = FolderId("f-1");
+  Full.Endpoint = EndpointId("asistente-3");
+  Full.Serves = {"asistente", "escrow"};
+  BOOST_TEST((Json(Full).get<Member>() == Full), Json(Full).dump());
+  const Json Bare = {{"instance", "a"}};
+  BOOST_CHECK_THROW(Bare.get<Member>(), Json::exception);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace tamarack
