--- a/packages/routing/include/tamarack/routing/ChooseEndpoint.h
+++ b/packages/routing/include/tamarack/routing/ChooseEndpoint.h
@@ -84,7 +84,7 @@
   /// A byte on the slow link: its transfer and its price, as time.
   double SlowLinkMicrosPerByte = 1.0;
   /// How much cheaper another endpoint must be for a program to move.
-  Duration HysteresisMargin = std::chrono::milliseconds(500);
+  Duration HysteresisMargin = std::chrono::seconds(1);
   /// How much cheaper another region must be for a call to leave home.
   Duration RegionMargin = std::chrono::seconds(5);
   /// When callers should come back if no endpoint is available.
