--- a/packages/standins/src/HttpHost.cpp
+++ b/packages/standins/src/HttpHost.cpp
@@ -4,9 +4,7 @@
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/ThreadPool.h>
@@ -16,7 +14,7 @@
 namespace tamarack::internal {
 namespace {
 
-constexpr int MaxConnections = 200;
+constexpr int MaxConnections = 1000;
 constexpr int MaxQueuedConnections = 200;
 constexpr int MaxRequestsPerConnection = 1'000'000;
 constexpr int KeepAliveSeconds = 60;
--- a/packages/standins/src/HttpHost.h
+++ b/packages/standins/src/HttpHost.h
@@ -12,17 +12,14 @@
 #include "tamarack/base/Error.h"
 #include "tamarack/base/Json.h"
 
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
-namespace Poco::Net {
-class HTTPServerRequest;
-class HTTPServerResponse;
-} // namespace Poco::Net
-
 namespace tamarack::internal {
 
 /// One request and the means to answer it.
@@ -39,7 +36,7 @@
   std::optional<std::string> pathBehind(const std::string &Prefix) const;
   bool is(const char *Method, const char *Path) const;
   std::optional<std::string> query(const std::string &Name) const;
-  /// A numeric query parameter; throws Json::exception's kin when malformed.
+  /// A numeric query parameter; throws std::invalid_argument when malformed.
   std::uint64_t numberQuery(const std::string &Name,
                             std::uint64_t Default) const;
   std::string header(const std::string &Name) const;
--- a/packages/standins/src/KeyValueServer.cpp
+++ b/packages/standins/src/KeyValueServer.cpp
@@ -3,11 +3,9 @@
 #include "HttpHost.h"
 #include "KeyValueStore.h"
 
-#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <mutex>
-#include <thread>
 
 namespace tamarack {
 using namespace internal;
@@ -116,15 +114,13 @@
   if (Call.path() == "/v1/faults")
     return handleFaults(Call);
   std::unique_lock Lock(Mutex);
-  auto Delay = Fault.Delay;
+  Changed.wait_for(Lock, Fault.Delay, [this] { return Stopping; });
   if (Fault.Outage) {
     ++Count.Refused;
     Lock.unlock();
     return Call.answer(503, {{"error", "outage"}});
   }
   Lock.unlock();
-  if (Delay.count() > 0)
-    std::this_thread::sleep_for(Delay);
   if (Call.is("GET", "/v1/watch"))
     return watch(Call);
   return Call.method() == "GET" ? read(Call) : write(Call);
--- a/packages/standins/src/KeyValueStore.h
+++ b/packages/standins/src/KeyValueStore.h
@@ -19,6 +19,9 @@
 
 namespace tamarack::internal {
 
+/// Lets comparisons of this namespace's types be found.
+using tamarack::operator==;
+
 using Revision = std::uint64_t;
 
 constexpr std::size_t MaxValueBytes = 1'000'000;
--- a/packages/standins/src/PrefixCache.h
+++ b/packages/standins/src/PrefixCache.h
@@ -21,6 +21,9 @@
 
 namespace tamarack::internal {
 
+/// Lets comparisons of this namespace's types be found.
+using tamarack::operator==;
+
 using TokenHash = std::uint64_t;
 using TokenSequence = std::vector<TokenHash>;
 
