Make forgetting attempts safe without a bound on time, and test at most once

Cause: a table that forgets by time alone lies in two cases. A sender paused between its intent and its order for longer than the retention can bring back a void attempt; and a question that comes after the answer was forgotten, as after a long outage that delays a take-over, is told 'never sent' of a call that ran. No retention bounds either.

Done: targets move on. A settled attempt is forgotten only when its target is no longer accepted, and a question about an unseen old target is answered Unknown. Senders that never learn newer targets keep working; then nothing is forgotten. voidAttempt refuses attempts never admitted here: the history test found it claiming 'never sent' after a restart for a call the predecessor sent.

Ruled out: a session number per connection (a second fence beside the target); an owner's acknowledgement (a dead owner never gives it).

--- a/packages/gate/include/tamarack/gate/Attempts.h
+++ b/packages/gate/include/tamarack/gate/Attempts.h
@@ -57,25 +57,44 @@
   std::optional<std::string> Answer;
   /// When the phase was last changed.
   TimePoint Changed;
+  /// The target its order names.
+  Incarnation Target = 0;
 
-  auto tied() const { return std::tie(Phase, Answer, Changed); }
+  auto tied() const { return std::tie(Phase, Answer, Changed, Target); }
 };
 
 /// The attempts this process has heard of since it started.
+///
+/// Tell every sender Self in replies and heartbeats. A sender notes the value
+/// it last heard in the intent, before it writes the order, and names it as
+/// the target in the order and in questions. Orders for a target older than
+/// Oldest are refused for ever, which is what makes forgetting safe: neither
+/// an order that was delayed nor a sender that was paused, for however long,
+/// can bring back an attempt that was forgotten.
 struct AttemptTable {
-  /// The incarnation of this process. A restarted process starts with a new
-  /// one and an empty table.
+  /// The newest target; grows in forgetAttempts. A restarted process starts
+  /// with an empty table and a value above all that its predecessor told, as
+  /// one taken from calendar time is.
   Incarnation Self = 0;
   std::map<AttemptId, AttemptEntry> Entries;
-
-  auto tied() const { return std::tie(Self, Entries); }
+  /// The oldest target that is still accepted. Zero until targets were first
+  /// moved on; only Self is accepted then.
+  Incarnation Oldest = 0;
+  /// Whether a sender has used Self, so that senders are known to follow.
+  bool SelfInUse = false;
+  TimePoint Advanced;
+
+  auto tied() const {
+    return std::tie(Self, Entries, Oldest, SelfInUse, Advanced);
+  }
 };
 
 /// Enters \p Id as queued.
 ///
-/// Refused as proved not run when \p Target is not this incarnation or the
-/// attempt is void. Refused as Fenced, without proof, when the attempt is
-/// known already: the sender asks for its state instead.
+/// Refused as proved not run when \p Target is another incarnation or too old,
+/// or the attempt is void; the proof relies on the sender writing an order at
+/// most once. Refused as Fenced, without proof, when the attempt is known
+/// already: the sender asks for its state instead.
 Expected<void> admitAttempt(AttemptTable &Table, const AttemptId &Id,
                             Incarnation Target, TimePoint Now);
 
@@ -89,8 +108,9 @@
 void markFinished(AttemptTable &Table, const AttemptId &Id, std::string Answer,
                   TimePoint Now);
 
-/// Makes an attempt that was not sent void, as after a refusal by admission.
-/// Refused once the attempt was sent.
+/// Makes an admitted attempt that was not sent void, as after a refusal by
+/// admission. Refused once the attempt was sent, and for one never admitted
+/// here, which a predecessor may have sent.
 Expected<void> voidAttempt(AttemptTable &Table, const AttemptId &Id,
                            TimePoint Now);
 
@@ -100,7 +120,8 @@
     NeverSent,
     Running,
     Finished,
-    /// Another incarnation was asked for; this one cannot know.
+    /// Another incarnation was asked for, or a target so old that the attempt
+    /// may have been forgotten; this process cannot know.
     Unknown,
   };
 
@@ -120,16 +141,15 @@
                          Incarnation Target, TimePoint Now);
 
 /// Drops finished and void entries whose last change is at least \p Retention
-/// ago, and returns how many.
+/// ago and whose target is no longer accepted; returns how many. Moves the
+/// accepted targets on, at most once per \p Retention, when senders have been
+/// seen to use the newest one.
 ///
-/// A forgotten attempt would be admitted like a new one. \p Retention must
-/// therefore exceed the longest time for which an order can be in flight:
-/// were a void entry dropped earlier, the order it stands against could still
-/// arrive and be sent after "never sent" was answered. The time in flight is
-/// bounded because an order is valid only on the connection it was written to,
-/// and a connection that stays silent for its heartbeat limit is closed. A
-/// sender that was paused for longer finds its connection closed and asks
-/// after its attempts instead of resending them.
+/// A void may be forgotten only when no order it stands against can still be
+/// admitted. No time alone ensures that, since a sender can be paused between
+/// its intent and its order for longer than any retention; the refusal of old
+/// targets does. \p Retention then only decides for how long answers can be
+/// asked for, and how long an order may be in flight without being refused.
 std::size_t forgetAttempts(AttemptTable &Table, TimePoint Now,
                            Duration Retention);
 
--- /dev/null
+++ b/packages/gate/include/tamarack/gate/Retention.h
@@ -0,0 +1,60 @@
+/// Which cache entries to keep while their programs wait for tools or people.
+///
+///   RetentionSettings Settings;
+///   for (const CacheAction &Action :
+///        makeRoom(Ledger, Settings, TokensNeeded, Now))
+///     std::visit(Carrier, Action);
+///
+/// Four ways are offered so that they can be compared; docs/measurements/
+/// gate.md has the comparison.
+#ifndef TAMARACK_GATE_RETENTION_H
+#define TAMARACK_GATE_RETENTION_H
+
+#include "tamarack/gate/CacheLedger.h"
+
+#include <string_view>
+
+namespace tamarack {
+
+enum class RetentionWay {
+  /// Releases a cache as soon as its call has ended.
+  KeepNothing,
+  /// Releases the least recently used when memory is short.
+  LeastRecentlyUsed,
+  /// Releases after a fixed idle time, and the least recently used before that
+  /// when memory is short.
+  FixedTime,
+  /// Releases the entry whose next use is farthest away when memory is short.
+  ExpectedNextUse,
+};
+
+std::string_view nameOf(RetentionWay Way);
+
+struct RetentionSettings {
+  RetentionWay Way = RetentionWay::ExpectedNextUse;
+  /// The engine memory for running calls and idle caches together.
+  TokenCount MemoryTokens = 400'000;
+  /// The idle time after which FixedTime releases.
+  Duration FixedTime = std::chrono::seconds(30);
+  /// The pause expected of a program that gave no hint.
+  Duration UnhintedPause = std::chrono::seconds(20);
+  Duration PrefillPerToken = Duration(100);
+  /// The time to export and import a token; nothing when the engine cannot.
+  std::optional<Duration> TransferPerToken;
+};
+
+/// How far an idle entry is from its next use. An entry that is overdue is
+/// expected to need as long again as it is late: programs whose tool hangs or
+/// that are gone so move back in the order without any timeout.
+Duration timeToNextUse(const CacheEntry &Entry,
+                       const RetentionSettings &Settings, TimePoint Now);
+
+/// Releases idle entries so that \p Reserved tokens of running calls and what
+/// stays idle fit the memory, plus those that the way does not keep at all. An
+/// entry is exported instead where that is cheaper than building it again.
+CacheActions makeRoom(CacheLedger &Ledger, const RetentionSettings &Settings,
+                      TokenCount Reserved, TimePoint Now);
+
+} // namespace tamarack
+
+#endif // TAMARACK_GATE_RETENTION_H
--- a/packages/gate/src/Attempts.cpp
+++ b/packages/gate/src/Attempts.cpp
@@ -1,5 +1,6 @@
 #include "tamarack/gate/Attempts.h"
 
+#include <iterator>
 #include <utility>
 
 namespace tamarack {
@@ -43,6 +44,35 @@
   Entry.Changed = Now;
 }
 
+/// Whether orders for \p Target can be admitted. Until targets were first
+/// moved on, only Self is.
+bool isAccepted(const AttemptTable &Table, Incarnation Target) {
+  const Incarnation Oldest = Table.Oldest == 0 ? Table.Self : Table.Oldest;
+  return Oldest <= Target && Target <= Table.Self;
+}
+
+/// Makes an entry void unless it was sent.
+bool makeVoid(AttemptEntry &Entry, TimePoint Now) {
+  if (Entry.Phase == AttemptPhase::Sent ||
+      Entry.Phase == AttemptPhase::Finished)
+    return false;
+  change(Entry, AttemptPhase::Void, Now);
+  return true;
+}
+
+bool isSettled(const AttemptEntry &Entry) {
+  return Entry.Phase == AttemptPhase::Finished ||
+         Entry.Phase == AttemptPhase::Void;
+}
+
+/// Accepts the present and a new target from now on.
+void advanceTarget(AttemptTable &Table, TimePoint Now) {
+  Table.Oldest = Table.Self;
+  ++Table.Self;
+  Table.SelfInUse = false;
+  Table.Advanced = Now;
+}
+
 tl::unexpected<Error> refuseVoid() {
   return refuse(ErrorKind::Fenced, "the attempt is void", NotRun::Proved);
 }
@@ -51,17 +81,19 @@
 
 Expected<void> admitAttempt(AttemptTable &Table, const AttemptId &Id,
                             Incarnation Target, TimePoint Now) {
-  if (Target != Table.Self)
+  auto Found = Table.Entries.find(Id);
+  if (Found != Table.Entries.end() && Found->second.Phase == AttemptPhase::Void)
+    return refuseVoid();
+  if (Found != Table.Entries.end())
+    return refuse(ErrorKind::Fenced,
+                  "the attempt is known already; ask for it");
+  if (!isAccepted(Table, Target))
     return refuse(ErrorKind::EndpointUnavailable,
-                  "the process was restarted since the order was written",
+                  "the order names a target that is no longer accepted",
                   NotRun::Proved);
-  auto [Found, Added] = Table.Entries.try_emplace(
-      Id, AttemptEntry{AttemptPhase::Queued, {}, Now});
-  if (Added)
-    return {};
-  if (Found->second.Phase == AttemptPhase::Void)
-    return refuseVoid();
-  return refuse(ErrorKind::Fenced, "the attempt is known already; ask for it");
+  Table.SelfInUse = Table.SelfInUse || Target == Table.Self;
+  Table.Entries[Id] = {AttemptPhase::Queued, {}, Now, Target};
+  return {};
 }
 
 Expected<void> markSent(AttemptTable &Table, const AttemptId &Id,
@@ -93,25 +125,28 @@
 
 Expected<void> voidAttempt(AttemptTable &Table, const AttemptId &Id,
                            TimePoint Now) {
-  AttemptEntry &Entry =
-      Table.Entries.try_emplace(Id, AttemptEntry{AttemptPhase::Queued, {}, Now})
-          .first->second;
-  if (Entry.Phase == AttemptPhase::Sent ||
-      Entry.Phase == AttemptPhase::Finished)
+  auto Found = Table.Entries.find(Id);
+  if (Found == Table.Entries.end())
+    return refuse(ErrorKind::Fenced, "the attempt was never admitted");
+  if (!makeVoid(Found->second, Now))
     return refuse(ErrorKind::Fenced, "the attempt was sent already");
-  // A repeated void is kept for its full retention again, since every question
-  // may cross with an order that is still under way.
-  change(Entry, AttemptPhase::Void, Now);
   return {};
 }
 
 AttemptAnswer askAttempt(AttemptTable &Table, const AttemptId &Id,
                          Incarnation Target, TimePoint Now) {
-  if (Target != Table.Self)
+  auto Found = Table.Entries.find(Id);
+  if (Found == Table.Entries.end()) {
+    if (!isAccepted(Table, Target))
+      return {AttemptAnswer::State::Unknown, {}};
+    Table.Entries[Id] = {AttemptPhase::Void, {}, Now, Target};
+    return {AttemptAnswer::State::NeverSent, {}};
+  }
+  AttemptEntry &Entry = Found->second;
+  if (Entry.Target != Target)
     return {AttemptAnswer::State::Unknown, {}};
-  if (voidAttempt(Table, Id, Now))
+  if (makeVoid(Entry, Now))
     return {AttemptAnswer::State::NeverSent, {}};
-  const AttemptEntry &Entry = Table.Entries.at(Id);
   if (Entry.Phase == AttemptPhase::Sent)
     return {AttemptAnswer::State::Running, {}};
   return {AttemptAnswer::State::Finished, Entry.Answer.value_or("")};
@@ -119,17 +154,15 @@
 
 std::size_t forgetAttempts(AttemptTable &Table, TimePoint Now,
                            Duration Retention) {
+  if (Table.SelfInUse && Now - Table.Advanced >= Retention)
+    advanceTarget(Table, Now);
   std::size_t Forgotten = 0;
-  for (auto Entry = Table.Entries.begin(); Entry != Table.Entries.end();) {
-    const AttemptPhase Phase = Entry->second.Phase;
-    const bool Settled =
-        Phase == AttemptPhase::Finished || Phase == AttemptPhase::Void;
-    if (!Settled || Now - Entry->second.Changed < Retention) {
-      ++Entry;
-      continue;
-    }
-    Entry = Table.Entries.erase(Entry);
-    ++Forgotten;
+  for (auto Each = Table.Entries.begin(); Each != Table.Entries.end();) {
+    const AttemptEntry &Entry = Each->second;
+    const bool Kept = !isSettled(Entry) || Now - Entry.Changed < Retention ||
+                      isAccepted(Table, Entry.Target);
+    Each = Kept ? std::next(Each) : Table.Entries.erase(Each);
+    Forgotten += Kept ? 0 : 1;
   }
   return Forgotten;
 }
--- /dev/null
+++ b/packages/gate/src/CacheLedger.cpp
@@ -0,0 +1,185 @@
+#include "tamarack/gate/CacheLedger.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+CacheEntry *find(CacheLedger &Ledger, const ProgramId &Program) {
+  auto Found = Ledger.Entries.find(Program);
+  return Found == Ledger.Entries.end() ? nullptr : &Found->second;
+}
+
+void setIdle(CacheEntry &Entry, TimePoint LeaseEnd) {
+  Entry.State = CacheState::Idle;
+  Entry.Until = LeaseEnd;
+}
+
+ReleaseCache setReleasing(CacheEntry &Entry) {
+  Entry.State = CacheState::Releasing;
+  return {Entry.Program};
+}
+
+AskOwner setUnclaimed(CacheEntry &Entry, TimePoint ClaimBy) {
+  Entry.State = CacheState::Unclaimed;
+  Entry.Until = ClaimBy;
+  return {Entry.Program, Entry.Owner};
+}
+
+/// Whether \p Program is \p Ancestor or one of its sub-agents.
+bool isWithin(const ProgramId &Program, const ProgramId &Ancestor) {
+  const std::string &Text = Program.text();
+  const std::string &Prefix = Ancestor.text();
+  if (Text.compare(0, Prefix.size(), Prefix) != 0)
+    return false;
+  return Text.size() == Prefix.size() || Text[Prefix.size()] == '/';
+}
+
+/// Whether a listing asked for at \p Asked may lack the entry's last use.
+bool isNewerThan(const CacheEntry &Entry, TimePoint Asked) {
+  return Entry.State == CacheState::InUse || Entry.LastUse >= Asked;
+}
+
+void dropMissing(CacheLedger &Ledger, const CacheListing &Listing) {
+  for (auto Each = Ledger.Entries.begin(); Each != Ledger.Entries.end();) {
+    const bool Listed = Listing.Tokens.count(Each->first) != 0;
+    if (Listed || isNewerThan(Each->second, Listing.Asked))
+      ++Each;
+    else
+      Each = Ledger.Entries.erase(Each);
+  }
+}
+
+void reconcileListed(CacheLedger &Ledger, const ProgramId &Program,
+                     TokenCount Tokens, const CacheListing &Listing,
+                     TimePoint Now, CacheActions &Actions) {
+  CacheEntry *Entry = find(Ledger, Program);
+  if (!Entry) {
+    CacheEntry &Added = Ledger.Entries[Program];
+    Added.Program = Program;
+    Added.Tokens = Tokens;
+    Added.LastUse = Listing.Asked;
+    Actions.push_back(setUnclaimed(Added, Now + Ledger.Limits.ClaimBound));
+    return;
+  }
+  if (isNewerThan(*Entry, Listing.Asked))
+    return;
+  Entry->Tokens = Tokens;
+  if (Entry->State == CacheState::Releasing)
+    Actions.push_back(ReleaseCache{Program});
+}
+
+} // namespace
+
+void onUse(CacheLedger &Ledger, const ProgramId &Program,
+           const InstanceId &Owner, TokenCount Tokens, TimePoint Now) {
+  CacheEntry &Entry = Ledger.Entries[Program];
+  Entry.Program = Program;
+  Entry.Owner = Owner;
+  Entry.Tokens = std::max(Entry.Tokens, Tokens);
+  Entry.LastUse = Now;
+  Entry.NextUse.reset();
+  Entry.State = CacheState::InUse;
+}
+
+CacheActions onUseEnded(CacheLedger &Ledger, const ProgramId &Program,
+                        TokenCount Tokens, TimePoint Now) {
+  CacheEntry *Entry = find(Ledger, Program);
+  if (!Entry || Entry->State != CacheState::InUse)
+    return {};
+  Entry->Tokens = Tokens;
+  Entry->LastUse = Now;
+  if (Entry->Ended)
+    return {setReleasing(*Entry)};
+  setIdle(*Entry, Now + Ledger.Limits.Lease);
+  return {};
+}
+
+void onToolPauseStarted(CacheLedger &Ledger, const ProgramId &Program,
+                        Duration Expected, TimePoint Now) {
+  CacheEntry *Entry = find(Ledger, Program);
+  if (!Entry || Entry->State == CacheState::InUse ||
+      Entry->State == CacheState::Releasing)
+    return;
+  Entry->NextUse = Now + Expected;
+  setIdle(*Entry, Now + std::max(Expected, Ledger.Limits.Lease));
+}
+
+void claim(CacheLedger &Ledger, const ProgramId &Program,
+           const InstanceId &Owner, TimePoint Now) {
+  CacheEntry *Entry = find(Ledger, Program);
+  if (!Entry)
+    return;
+  Entry->Owner = Owner;
+  if (Entry->State == CacheState::Idle || Entry->State == CacheState::Unclaimed)
+    setIdle(*Entry, Now + Ledger.Limits.Lease);
+}
+
+CacheActions onProgramEnded(CacheLedger &Ledger, const ProgramId &Program,
+                            TimePoint Now) {
+  CacheActions Actions;
+  for (auto &[Id, Entry] : Ledger.Entries) {
+    if (!isWithin(Id, Program))
+      continue;
+    Entry.Ended = true;
+    for (CacheAction &Each : release(Ledger, Id, Now))
+      Actions.push_back(std::move(Each));
+  }
+  return Actions;
+}
+
+CacheActions release(CacheLedger &Ledger, const ProgramId &Program, TimePoint) {
+  CacheEntry *Entry = find(Ledger, Program);
+  if (!Entry || Entry->State == CacheState::InUse)
+    return {};
+  return {setReleasing(*Entry)};
+}
+
+void onEngineEvent(CacheLedger &Ledger, const EngineCacheEvent &Event) {
+  CacheEntry *Entry = find(Ledger, Event.Program);
+  if (!Entry || Entry->State == CacheState::InUse)
+    return;
+  Entry->Tokens = std::min(Entry->Tokens, Event.Tokens);
+}
+
+CacheActions reconcile(CacheLedger &Ledger, const CacheListing &Listing,
+                       TimePoint Now) {
+  CacheActions Actions;
+  dropMissing(Ledger, Listing);
+  for (const auto &[Program, Tokens] : Listing.Tokens)
+    reconcileListed(Ledger, Program, Tokens, Listing, Now, Actions);
+  return Actions;
+}
+
+CacheActions onTick(CacheLedger &Ledger, TimePoint Now) {
+  CacheActions Actions;
+  for (auto &[Program, Entry] : Ledger.Entries) {
+    if (Entry.State == CacheState::InUse || Now < Entry.Until)
+      continue;
+    if (Entry.State == CacheState::Idle)
+      Actions.push_back(setUnclaimed(Entry, Now + Ledger.Limits.ClaimBound));
+    else if (Entry.State == CacheState::Unclaimed)
+      Actions.push_back(setReleasing(Entry));
+  }
+  return Actions;
+}
+
+TokenCount cachedTokens(const CacheLedger &Ledger, const ProgramId &Program) {
+  auto Found = Ledger.Entries.find(Program);
+  if (Found == Ledger.Entries.end() ||
+      Found->second.State == CacheState::Releasing)
+    return 0;
+  return Found->second.Tokens;
+}
+
+TokenCount idleTokens(const CacheLedger &Ledger) {
+  TokenCount Sum = 0;
+  for (const auto &[Program, Entry] : Ledger.Entries) {
+    if (Entry.State != CacheState::InUse)
+      Sum += Entry.Tokens;
+  }
+  return Sum;
+}
+
+} // namespace tamarack
