--- /dev/null
+++ b/packages/gate/test/RetentionTest.cpp
@@ -0,0 +1,92 @@
+#include "tamarack/gate/Retention.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+using std::chrono::seconds;
+
+namespace {
+
+TimePoint at(int Second) { return TimePoint(seconds(Second)); }
+
+struct Idle {
+  const char *Program;
+  int LastUse;
+  /// The second of the next use, or 0 without a hint.
+  int NextUse;
+};
+
+CacheLedger ledgerOf(const std::vector<Idle> &Entries) {
+  CacheLedger Ledger;
+  for (const Idle &Each : Entries) {
+    const ProgramId Program(Each.Program);
+    onUse(Ledger, Program, InstanceId("entry-1"), 100, at(Each.LastUse));
+    onUseEnded(Ledger, Program, 100, at(Each.LastUse));
+    if (Each.NextUse != 0)
+      onToolPauseStarted(Ledger, Program, seconds(Each.NextUse - Each.LastUse),
+                         at(Each.LastUse));
+  }
+  return Ledger;
+}
+
+std::string released(const CacheActions &Actions) {
+  std::string Names;
+  for (const CacheAction &Each : Actions) {
+    if (const auto *Release = std::get_if<ReleaseCache>(&Each))
+      Names += Release->Program.text();
+    if (const auto *Export = std::get_if<ExportCache>(&Each))
+      Names += "->" + Export->Program.text();
+  }
+  return Names;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Retention)
+
+BOOST_AUTO_TEST_CASE(ReleasesWhatEachWayLetsGo) {
+  // At second 40: a is back at once, b far away, c overdue for 25 s, and d
+  // without a hint.
+  const std::vector<Idle> Entries = {
+      {"a", 1, 41}, {"b", 20, 300}, {"c", 5, 15}, {"d", 30, 0}};
+  struct Row {
+    RetentionWay Way;
+    TokenCount Reserved;
+    const char *Released;
+  };
+  const Row Rows[] = {
+      {RetentionWay::KeepNothing, 0, "acbd"},
+      {RetentionWay::LeastRecentlyUsed, 0, ""},
+      {RetentionWay::LeastRecentlyUsed, 200, "ac"},
+      {RetentionWay::FixedTime, 0, "ac"},
+      {RetentionWay::FixedTime, 300, "acb"},
+      {RetentionWay::ExpectedNextUse, 0, ""},
+      {RetentionWay::ExpectedNextUse, 100, "b"},
+      {RetentionWay::ExpectedNextUse, 300, "bcd"},
+  };
+  for (const Row &Each : Rows) {
+    BOOST_TEST_CONTEXT(nameOf(Each.Way) << ", reserved " << Each.Reserved) {
+      CacheLedger Ledger = ledgerOf(Entries);
+      RetentionSettings Settings;
+      Settings.Way = Each.Way;
+      Settings.MemoryTokens = 400;
+      const std::string Released =
+          released(makeRoom(Ledger, Settings, Each.Reserved, at(40)));
+      BOOST_TEST(Released == Each.Released);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ExportsWhereThatIsCheaperThanRebuilding) {
+  for (int Transfer : {50, 100, 200}) {
+    CacheLedger Ledger = ledgerOf({{"a", 1, 41}});
+    RetentionSettings Settings;
+    Settings.MemoryTokens = 50;
+    Settings.TransferPerToken = Duration(Transfer);
+    const std::string Released = released(makeRoom(Ledger, Settings, 0, at(2)));
+    BOOST_TEST(Released == (Transfer < 100 ? "->a" : "a"),
+               "transfer of " << Transfer << " us per token: " << Released);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
