Add a single-endpoint trial in simulated time

A fake engine (continuous batching in steps, chunked prefill, preemption), the programs of both users drawn from a seed, and a trial that runs them against no admission, first come first served, and the gate.

--- /dev/null
+++ b/packages/gate/bench/GateTrials.cpp
@@ -0,0 +1,135 @@
+/// Prints the tables of docs/measurements/gate.md.
+///
+///   build/packages/gate/gate_trials
+#include "Trial.h"
+
+#include <cstdio>
+
+using namespace tamarack;
+
+namespace {
+
+constexpr double Loads[] = {0.5, 1.0, 1.5, 2.0};
+constexpr TrialPolicy Policies[] = {TrialPolicy::NoAdmission,
+                                    TrialPolicy::FirstComeFirstServed,
+                                    TrialPolicy::Gate};
+constexpr RetentionWay Ways[] = {
+    RetentionWay::KeepNothing, RetentionWay::LeastRecentlyUsed,
+    RetentionWay::FixedTime, RetentionWay::ExpectedNextUse};
+
+double perMinute(std::size_t Count, const TrialResult &Result) {
+  return static_cast<double>(Count) / Result.Minutes;
+}
+
+/// The engine's own order for the baselines, ours for the gate.
+RetentionWay wayOf(TrialPolicy Policy) {
+  return Policy == TrialPolicy::Gate ? RetentionWay::ExpectedNextUse
+                                     : RetentionWay::LeastRecentlyUsed;
+}
+
+TrialResult run(const WorkloadKinds &Kinds, double Load, TrialPolicy Policy,
+                RetentionWay Way) {
+  TrialSettings Settings;
+  Settings.Kinds = Kinds;
+  Settings.Size.Load = Load;
+  Settings.Policy = Policy;
+  Settings.Way = Way;
+  return runTrial(Settings);
+}
+
+void printPolicyRow(const WorkloadKinds &Kinds, double Load,
+                    TrialPolicy Policy) {
+  const TrialResult Result = run(Kinds, Load, Policy, wayOf(Policy));
+  std::size_t Broken = 0;
+  for (const ClassResult &Each : Result.Classes.Values)
+    Broken += Each.Broken;
+  std::printf("| %s | %.1f | %s | %.1f | %.0f | %.1f | %.1f | %zu / %zu | "
+              "%.0f | %.2f |\n",
+              Kinds.Name.c_str(), Load, nameOf(Policy).data(),
+              perMinute(Result.finished(), Result),
+              static_cast<double>(Result.UsefulTokens) / Result.Minutes / 60,
+              perMinute(Result.refused(), Result), perMinute(Broken, Result),
+              Result.RefusedOnArrival, Result.RefusedLater,
+              Result.MeanTokenSeconds * 1000,
+              static_cast<double>(Result.PrefilledAgain) /
+                  static_cast<double>(Result.Prefilled));
+}
+
+void printClassRows(const WorkloadKinds &Kinds, double Load,
+                    TrialPolicy Policy) {
+  const TrialResult Result = run(Kinds, Load, Policy, wayOf(Policy));
+  for (const ProgramKind &Kind : Kinds.Kinds) {
+    const ClassResult &Class = Result.Classes[Kind.Class];
+    std::printf("| %s | %.1f | %s | %s | %.1f | %.1f | %.1f | %.2f | %zu | "
+                "%zu | %zu | %zu |\n",
+                Kinds.Name.c_str(), Load, nameOf(Policy).data(),
+                Kind.Name.c_str(), percentile(Class.ProgramSeconds, 0.50),
+                percentile(Class.ProgramSeconds, 0.95),
+                percentile(Class.ProgramSeconds, 0.99),
+                percentile(Class.FirstTokenSeconds, 0.95), Class.Offered,
+                Class.Finished, Class.Refused, Class.Broken);
+  }
+}
+
+void printRetentionRow(const WorkloadKinds &Kinds, double Load,
+                       RetentionWay Way) {
+  const TrialResult Result = run(Kinds, Load, TrialPolicy::Gate, Way);
+  std::vector<double> All;
+  for (const ClassResult &Each : Result.Classes.Values)
+    All.insert(All.end(), Each.ProgramSeconds.begin(),
+               Each.ProgramSeconds.end());
+  std::printf("| %s | %.1f | %s | %.1f | %.1f | %.1f | %.1f | %.1f | %.0f | "
+              "%.2f |\n",
+              Kinds.Name.c_str(), Load, nameOf(Way).data(),
+              percentile(All, 0.50), percentile(All, 0.95),
+              percentile(All, 0.99), perMinute(Result.finished(), Result),
+              static_cast<double>(Result.PrefilledAgain) / Result.Minutes /
+                  1000,
+              Result.TokenSecondsHeldForGone / Result.Minutes / 1000,
+              static_cast<double>(Result.PrefilledAgain) /
+                  static_cast<double>(Result.Prefilled));
+}
+
+void printPolicies(const WorkloadKinds &Kinds) {
+  for (double Load : Loads) {
+    for (TrialPolicy Policy : Policies)
+      printPolicyRow(Kinds, Load, Policy);
+  }
+}
+
+void printClasses(const WorkloadKinds &Kinds) {
+  for (double Load : {1.0, 2.0}) {
+    for (TrialPolicy Policy : Policies)
+      printClassRows(Kinds, Load, Policy);
+  }
+}
+
+void printRetention(const WorkloadKinds &Kinds) {
+  for (double Load : {0.5, 1.0, 2.0}) {
+    for (RetentionWay Way : Ways)
+      printRetentionRow(Kinds, Load, Way);
+  }
+}
+
+} // namespace
+
+int main() {
+  std::puts("| workload | load | policy | programs/min | useful tokens/s | "
+            "refused programs/min | broken programs/min | refusals on arrival "
+            "/ later | token time ms | prefilled again |");
+  std::puts("|---|---|---|---|---|---|---|---|---|---|");
+  printPolicies(obrador());
+  printPolicies(liftara());
+  std::puts("\n| workload | load | policy | kind | program p50 s | p95 s | p99 "
+            "s | first token p95 s | offered | finished | refused | broken |");
+  std::puts("|---|---|---|---|---|---|---|---|---|---|---|---|");
+  printClasses(obrador());
+  printClasses(liftara());
+  std::puts("\n| workload | load | way | program p50 s | p95 s | p99 s | "
+            "programs/min | prefilled again k/min | held for gone k "
+            "token-s/min | share prefilled again |");
+  std::puts("|---|---|---|---|---|---|---|---|---|---|");
+  printRetention(obrador());
+  printRetention(liftara());
+  return 0;
+}
--- /dev/null
+++ b/packages/gate/bench/Trial.cpp
@@ -0,0 +1,440 @@
+#include "Trial.h"
+
+#include <algorithm>
+#include <queue>
+
+namespace tamarack {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration TickPeriod = milliseconds(250);
+/// A program without a call for so long is ended by its owner.
+constexpr Duration ProgramIdleLimit = seconds(600);
+/// How often a caller comes back after a refusal, at the start of a program
+/// and within one.
+constexpr unsigned TriesToBegin = 3;
+constexpr unsigned TriesWithin = 7;
+
+double secondsOf(Duration Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
+enum class EventKind { Submit, Expire, EndGone, Tick };
+
+struct Event {
+  TimePoint At;
+  std::size_t Order = 0;
+  EventKind Kind = EventKind::Tick;
+  std::size_t Program = 0;
+  std::uint32_t Attempt = 0;
+
+  bool operator<(const Event &Other) const {
+    return std::tie(Other.At, Other.Order) < std::tie(At, Order);
+  }
+};
+
+struct LiveProgram {
+  const ProgramScript *Script = nullptr;
+  std::size_t TurnNumber = 0;
+  /// Tokens of all turns so far, answers included.
+  TokenCount History = 0;
+  TokenCount Attained = 0;
+  TokenCount Output = 0;
+  TokenCount PrefilledNow = 0;
+  std::uint32_t Attempt = 0;
+  unsigned Tries = 0;
+  bool InCall = false;
+  bool Sent = false;
+  bool Gone = false;
+  bool Ended = false;
+  TimePoint Submitted;
+  TimePoint CallBegan;
+  Duration Spent{0};
+
+  const ProgramKind &kind() const { return *Script->Kind; }
+  const Turn &turn() const { return Script->Turns[TurnNumber]; }
+  TokenCount prompt() const { return History + turn().NewTokens; }
+};
+
+AdmissionLimits limitsOf(const TrialSettings &Settings) {
+  AdmissionLimits Limits = Settings.Limits;
+  Limits.MemoryTokens = Settings.Model.MemoryTokens;
+  Limits.MaxBatch = Settings.Model.MaxBatch;
+  if (Settings.Policy != TrialPolicy::FirstComeFirstServed)
+    return Limits;
+  Limits.ReservedShare = {};
+  Limits.QueueBound = 1'000'000;
+  Limits.AgeingTokensPerSecond = 0;
+  Limits.AgeingPeriod = std::chrono::hours(24);
+  return Limits;
+}
+
+class Trial {
+public:
+  explicit Trial(const TrialSettings &Settings)
+      : Settings(Settings), State(limitsOf(Settings)), Engine(Settings.Model),
+        Scripts(drawPrograms(Settings.Kinds, Settings.Size, Settings.Model)) {
+    Retention.Way = Settings.Way;
+    Retention.MemoryTokens = Settings.Model.MemoryTokens;
+    Programs.resize(Scripts.size());
+    for (std::size_t Index = 0; Index < Scripts.size(); ++Index) {
+      Programs[Index].Script = &Scripts[Index];
+      schedule(Scripts[Index].Begins, EventKind::Submit, Index);
+    }
+    schedule(TimePoint(TickPeriod), EventKind::Tick);
+  }
+
+  TrialResult run() {
+    const TimePoint End(Settings.Size.Length);
+    while (Now < End) {
+      if (Engine.isIdle())
+        runEventsUntil(Events.top().At);
+      else
+        runStep();
+    }
+    Result.RunningLimit = State.RunningLimit;
+    Result.Minutes = secondsOf(Settings.Size.Length - Settings.WarmUp) / 60;
+    if (Steps > 0)
+      Result.MeanTokenSeconds = StepSeconds / static_cast<double>(Steps);
+    if (LowSamples > 0)
+      Result.LowShareWhileWaiting = LowShare / static_cast<double>(LowSamples);
+    return Result;
+  }
+
+private:
+  // Time.
+
+  void schedule(TimePoint At, EventKind Kind, std::size_t Program = 0,
+                std::uint32_t Attempt = 0) {
+    Events.push({At, NextOrder++, Kind, Program, Attempt});
+  }
+
+  bool counts() const { return Now >= TimePoint(Settings.WarmUp); }
+
+  void runEventsUntil(TimePoint End) {
+    while (!Events.empty() && Events.top().At <= End) {
+      const Event Next = Events.top();
+      Events.pop();
+      Now = std::max(Now, Next.At);
+      handle(Next);
+    }
+    Now = std::max(Now, End);
+  }
+
+  void handle(const Event &Next) {
+    switch (Next.Kind) {
+    case EventKind::Submit:
+      return submit(Next.Program);
+    case EventKind::Expire:
+      return expire(Next.Program, Next.Attempt);
+    case EventKind::EndGone:
+      return endProgram(Next.Program);
+    case EventKind::Tick:
+      return tick();
+    }
+  }
+
+  void runStep() {
+    const EngineStep Step = Engine.step();
+    runEventsUntil(Now + Step.Length);
+    for (std::size_t Index : Step.FirstTokens)
+      firstToken(Index);
+    for (std::size_t Index : Step.Finished)
+      finish(Index);
+    if (Step.Decoding == 0)
+      return;
+    if (counts()) {
+      ++Steps;
+      StepSeconds += secondsOf(Step.Length);
+    }
+    if (isQueued())
+      carry(onTokenTime(State, Step.Length, Now));
+  }
+
+  // Calls.
+
+  bool isQueued() const { return Settings.Policy != TrialPolicy::NoAdmission; }
+
+  ClassResult &resultOf(const LiveProgram &Program) {
+    return Result.Classes[Program.kind().Class];
+  }
+
+  static ProgramId idOf(std::size_t Index) {
+    return ProgramId(std::to_string(Index));
+  }
+
+  AttemptId attemptOf(std::size_t Index) const {
+    const LiveProgram &Program = Programs[Index];
+    return {idOf(Index), CallId(std::to_string(Program.TurnNumber)),
+            Program.Attempt};
+  }
+
+  QueuedCall callOf(std::size_t Index) const {
+    const LiveProgram &Program = Programs[Index];
+    QueuedCall Call;
+    Call.Id = attemptOf(Index);
+    Call.PromptTokens = Program.prompt();
+    Call.CachedTokens = cachedTokens(Ledger, idOf(Index));
+    Call.MaxTokens = Program.kind().MaxOutput;
+    Call.Arrived = Now;
+    if (Settings.Policy == TrialPolicy::FirstComeFirstServed) {
+      Call.Attained = 1;
+      Call.Deadline = TimePoint::max();
+      return Call;
+    }
+    Call.Class = Program.kind().Class;
+    Call.Attained = Program.Attained;
+    Call.Deadline = Now + Program.kind().Patience;
+    return Call;
+  }
+
+  void submit(std::size_t Index) {
+    LiveProgram &Program = Programs[Index];
+    ++Program.Attempt;
+    Program.InCall = true;
+    Program.Sent = false;
+    Program.Submitted = Now;
+    if (Program.Tries++ == 0)
+      Program.CallBegan = Now;
+    if (Program.TurnNumber == 0 && Program.Tries == 1 && counts())
+      ++resultOf(Program).Offered;
+    schedule(Now + Program.kind().Patience, EventKind::Expire, Index,
+             Program.Attempt);
+    // The program is back: its entry is needed as soon as the queue lets it.
+    onToolPauseStarted(Ledger, idOf(Index), Duration(0), Now);
+    if (!isQueued())
+      return send(Index);
+    Arriving = true;
+    carry(onArrival(State, callOf(Index), Now));
+    Arriving = false;
+  }
+
+  void send(std::size_t Index) {
+    LiveProgram &Program = Programs[Index];
+    const TokenCount Cached =
+        std::min(cachedTokens(Ledger, idOf(Index)), Program.History);
+    Program.Sent = true;
+    Program.PrefilledNow = Program.prompt() - Cached;
+    if (counts()) {
+      Result.Prefilled += Program.PrefilledNow;
+      Result.PrefilledAgain += Program.History - Cached;
+    }
+    onUse(Ledger, idOf(Index), Owner, Program.prompt(), Now);
+    Engine.submit({Index, Program.prompt(), Cached, Program.turn().Output});
+    release(makeRoom(Ledger, Retention, reservedTokens(), Now));
+  }
+
+  void carry(const AdmissionActions &Actions) {
+    for (const AdmissionAction &Each : Actions) {
+      if (const auto *Start = std::get_if<StartCall>(&Each))
+        send(std::stoul(Start->Id.Program.text()));
+      if (const auto *Refuse = std::get_if<RefuseCall>(&Each))
+        refused(std::stoul(Refuse->Id.Program.text()), Refuse->Failure);
+    }
+  }
+
+  void refused(std::size_t Index, const Error &Failure) {
+    LiveProgram &Program = Programs[Index];
+    if (!Program.InCall)
+      return;
+    if (counts())
+      ++(Arriving ? Result.RefusedOnArrival : Result.RefusedLater);
+    Program.InCall = false;
+    const bool Begins = Program.TurnNumber == 0;
+    if (Program.Tries < (Begins ? TriesToBegin : TriesWithin))
+      return schedule(Now + retryAfterOf(Failure), EventKind::Submit, Index);
+    if (counts())
+      ++(Begins ? resultOf(Program).Refused : resultOf(Program).Broken);
+    endProgram(Index);
+  }
+
+  void expire(std::size_t Index, std::uint32_t Attempt) {
+    LiveProgram &Program = Programs[Index];
+    if (!Program.InCall || Program.Attempt != Attempt)
+      return;
+    Program.InCall = false;
+    if (counts()) {
+      ++Result.Expired;
+      ++resultOf(Program).Broken;
+    }
+    Engine.cancel(Index);
+    if (Program.Sent)
+      release(onUseEnded(Ledger, idOf(Index), Program.History, Now));
+    endProgram(Index);
+    if (!isQueued())
+      return;
+    carry(onCancel(State, attemptOf(Index), Now));
+    carry(onFinished(State, attemptOf(Index), 0, Now));
+  }
+
+  void firstToken(std::size_t Index) {
+    LiveProgram &Program = Programs[Index];
+    if (!Program.InCall)
+      return;
+    if (isQueued())
+      onFirstToken(State, attemptOf(Index), Now);
+    if (counts())
+      resultOf(Program).FirstTokenSeconds.push_back(
+          secondsOf(Now - Program.Submitted));
+  }
+
+  void finish(std::size_t Index) {
+    LiveProgram &Program = Programs[Index];
+    if (!Program.InCall)
+      return;
+    const TokenCount Output = Program.turn().Output;
+    const AttemptId Ended = attemptOf(Index);
+    Program.InCall = false;
+    Program.Tries = 0;
+    Program.History = Program.prompt() + Output;
+    Program.Output += Output;
+    Program.Attained += Program.PrefilledNow + Output;
+    Program.Spent += Now - Program.CallBegan;
+    if (counts())
+      resultOf(Program).OutputTokens += Output;
+    release(onUseEnded(Ledger, idOf(Index), Program.History, Now));
+    afterTurn(Index);
+    if (isQueued())
+      carry(onFinished(State, Ended, Output, Now));
+  }
+
+  void afterTurn(std::size_t Index) {
+    LiveProgram &Program = Programs[Index];
+    const bool Last = Program.TurnNumber + 1 == Program.Script->Turns.size();
+    if (!Last || Program.Script->Dies)
+      startPause(Index);
+    if (Last && Program.Script->Dies) {
+      Program.Gone = true;
+      return schedule(Now + ProgramIdleLimit, EventKind::EndGone, Index);
+    }
+    if (Last)
+      return finishProgram(Index);
+    const Duration Pause = Program.turn().PauseAfter;
+    ++Program.TurnNumber;
+    schedule(Now + Pause, EventKind::Submit, Index);
+  }
+
+  void startPause(std::size_t Index) {
+    const ProgramKind &Kind = Programs[Index].kind();
+    if (Kind.HasHint)
+      onToolPauseStarted(Ledger, idOf(Index), Kind.Pause, Now);
+  }
+
+  void finishProgram(std::size_t Index) {
+    LiveProgram &Program = Programs[Index];
+    if (counts()) {
+      ++resultOf(Program).Finished;
+      Result.UsefulTokens += Program.Output;
+      resultOf(Program).ProgramSeconds.push_back(secondsOf(Program.Spent));
+    }
+    endProgram(Index);
+  }
+
+  // Cache.
+
+  TokenCount reservedTokens() const {
+    return isQueued() ? State.ReservedTokens : Engine.heldTokens();
+  }
+
+  void endProgram(std::size_t Index) {
+    Programs[Index].Ended = true;
+    release(onProgramEnded(Ledger, idOf(Index), Now));
+  }
+
+  /// Carries out releases, and answers questions as the programs' owner.
+  void release(const CacheActions &Actions) {
+    for (const CacheAction &Each : Actions) {
+      if (const auto *Release = std::get_if<ReleaseCache>(&Each))
+        Ledger.Entries.erase(Release->Program);
+      const auto *Ask = std::get_if<AskOwner>(&Each);
+      if (Ask && !Programs[std::stoul(Ask->Program.text())].Ended)
+        claim(Ledger, Ask->Program, Owner, Now);
+    }
+  }
+
+  void tick() {
+    schedule(Now + TickPeriod, EventKind::Tick);
+    if (isQueued())
+      carry(onTick(State, Now));
+    release(onTick(Ledger, Now));
+    release(makeRoom(Ledger, Retention, reservedTokens(), Now));
+    if (counts())
+      sample();
+  }
+
+  void sample() {
+    for (const auto &[Program, Entry] : Ledger.Entries) {
+      if (Programs[std::stoul(Program.text())].Gone)
+        Result.TokenSecondsHeldForGone +=
+            static_cast<double>(Entry.Tokens) * secondsOf(TickPeriod);
+    }
+    if (State.Waiting[CallClass::Low].empty() || State.Running.empty())
+      return;
+    ++LowSamples;
+    LowShare += static_cast<double>(State.RunningOf[CallClass::Low]) /
+                static_cast<double>(State.Running.size());
+  }
+
+  const TrialSettings &Settings;
+  const InstanceId Owner{"entry-1"};
+  AdmissionState State;
+  CacheLedger Ledger;
+  RetentionSettings Retention;
+  FakeEngine Engine;
+  std::vector<ProgramScript> Scripts;
+  std::vector<LiveProgram> Programs;
+  std::priority_queue<Event> Events;
+  std::size_t NextOrder = 0;
+  TimePoint Now;
+  bool Arriving = false;
+  TrialResult Result;
+  std::size_t Steps = 0;
+  double StepSeconds = 0;
+  std::size_t LowSamples = 0;
+  double LowShare = 0;
+};
+
+} // namespace
+
+std::string_view nameOf(TrialPolicy Policy) {
+  switch (Policy) {
+  case TrialPolicy::NoAdmission:
+    return "no admission";
+  case TrialPolicy::FirstComeFirstServed:
+    return "first come first served";
+  case TrialPolicy::Gate:
+    return "gate";
+  }
+  return "";
+}
+
+std::size_t TrialResult::finished() const {
+  std::size_t Sum = 0;
+  for (const ClassResult &Each : Classes.Values)
+    Sum += Each.Finished;
+  return Sum;
+}
+
+std::size_t TrialResult::refused() const {
+  std::size_t Sum = 0;
+  for (const ClassResult &Each : Classes.Values)
+    Sum += Each.Refused;
+  return Sum;
+}
+
+TrialResult runTrial(const TrialSettings &Settings) {
+  return Trial(Settings).run();
+}
+
+double percentile(std::vector<double> Values, double Share) {
+  if (Values.empty())
+    return 0;
+  std::sort(Values.begin(), Values.end());
+  const auto Last = static_cast<double>(Values.size() - 1);
+  return Values[static_cast<std::size_t>(Share * Last)];
+}
+
+} // namespace tamarack
