Bound the prefill ahead of a call and the programs under way

Calls were limited, programs were not.

Done: a call starts only while the calls already sent leave time to prefill it; a new program is let in only while the caches of programs expected back, those evicted meanwhile included, leave room; the mean pause is learned.

--- a/packages/gate/include/tamarack/gate/Admission.h
+++ b/packages/gate/include/tamarack/gate/Admission.h
@@ -91,26 +91,42 @@
   double DecreaseFactor = 0.9;
   /// Used until a first token was seen.
   Duration InitialPrefillPerToken = Duration(100);
+  /// The prefill time that calls already sent may still need when a call of a
+  /// class is started. Engines prefill in the order of arrival, so this bounds
+  /// how long the first token of an urgent call waits behind others.
+  PerClass<Duration> PrefillBacklog{{std::chrono::milliseconds(900),
+                                     std::chrono::milliseconds(400),
+                                     std::chrono::milliseconds(200)}};
+  /// The part of the memory up to which a new program is let in, counting the
+  /// calls that run and the caches of paused programs that are expected back.
+  /// More programs would only evict each other's caches.
+  PerClass<double> WorkingSetShare{{1.0, 0.9, 0.8}};
 
   auto tied() const {
     return std::tie(QueueBound, MaxBatch, InitialRunning, MinRunning,
                     MemoryTokens, TokenTimeTarget, FirstTokenTarget,
                     ReservedShare, NewProgramWait, AgeingPeriod,
                     AgeingTokensPerSecond, HoldAbove, HoldBelow, ReviewSamples,
-                    DecreaseFactor, InitialPrefillPerToken);
+                    DecreaseFactor, InitialPrefillPerToken, PrefillBacklog,
+                    WorkingSetShare);
   }
 };
 
 struct WaitingCall {
   QueuedCall Call;
-  /// The service time expected when it arrived.
+  /// The service time expected when it arrived, and the prefill's part of it.
   Duration Work{0};
+  Duration Prefill{0};
 };
 
 struct RunningCall {
   QueuedCall Call;
   TimePoint Started;
   bool FirstTokenSeen = false;
+  /// The prefill time expected when it started.
+  Duration Prefill{0};
+  /// No other call was being prefilled when it started.
+  bool PrefilledAlone = false;
 };
 
 /// What was learned about the endpoint from its answers.
@@ -134,9 +150,14 @@
   EndpointEstimate Estimate;
   PerClass<std::vector<WaitingCall>> Waiting;
   PerClass<Duration> WaitingWork;
+  PerClass<Duration> WaitingPrefill;
   PerClass<std::size_t> RunningOf;
   std::map<AttemptId, RunningCall> Running;
   TokenCount ReservedTokens = 0;
+  /// The expected prefill of running calls without a first token.
+  Duration PendingPrefill{0};
+  /// Caches of paused programs that are expected back.
+  TokenCount PausedTokens = 0;
   double ReviewSum = 0;
   std::size_t ReviewCount = 0;
   bool Draining = false;
@@ -169,7 +190,12 @@
                            TimePoint Now);
 
 /// The first token of a running call has come.
-void onFirstToken(AdmissionState &State, const AttemptId &Id, TimePoint Now);
+AdmissionActions onFirstToken(AdmissionState &State, const AttemptId &Id,
+                              TimePoint Now);
+
+/// The tokens in caches of paused programs that are expected back, as
+/// expectedBackTokens tells. To be reported whenever a call starts or ends.
+void onPausedTokens(AdmissionState &State, TokenCount Tokens);
 
 /// A time between two tokens of one stream was observed.
 AdmissionActions onTokenTime(AdmissionState &State, Duration Between,
@@ -213,6 +239,9 @@
 
 QueueReport report(const AdmissionState &State);
 
+/// The prefill time to expect for \p Call.
+Duration expectedPrefill(const AdmissionState &State, const QueuedCall &Call);
+
 /// The service time to expect for \p Call once it has started.
 Duration expectedService(const AdmissionState &State, const QueuedCall &Call);
 
--- a/packages/gate/include/tamarack/gate/CacheLedger.h
+++ b/packages/gate/include/tamarack/gate/CacheLedger.h
@@ -66,7 +66,13 @@
 
 struct CacheLedger {
   CacheLimits Limits;
+  /// The mean pause of programs that gave no hint, learned from those that
+  /// came back.
+  Duration MeanPause = std::chrono::seconds(20);
   std::map<ProgramId, CacheEntry> Entries;
+  /// Entries given up for lack of memory while their programs were expected
+  /// back. They hold no memory, but will when the programs return.
+  std::map<ProgramId, CacheEntry> Evicted;
 };
 
 /// Tell the engine to release the program's cache. States what is desired, so
@@ -93,6 +99,9 @@
 using CacheAction = std::variant<ReleaseCache, AskOwner, ExportCache>;
 using CacheActions = std::vector<CacheAction>;
 
+/// A call of \p Program has come and waits: its entry is needed at once.
+void onCallQueued(CacheLedger &Ledger, const ProgramId &Program, TimePoint Now);
+
 /// A call of \p Program is being sent, with \p Tokens of prompt.
 void onUse(CacheLedger &Ledger, const ProgramId &Program,
            const InstanceId &Owner, TokenCount Tokens, TimePoint Now);
--- a/packages/gate/include/tamarack/gate/Retention.h
+++ b/packages/gate/include/tamarack/gate/Retention.h
@@ -36,8 +36,10 @@
   TokenCount MemoryTokens = 400'000;
   /// The idle time after which FixedTime releases.
   Duration FixedTime = std::chrono::seconds(30);
-  /// The pause expected of a program that gave no hint.
-  Duration UnhintedPause = std::chrono::seconds(20);
+  /// A program is expected back for this many times its expected pause. At an
+  /// exponential pause and a few programs in a hundred lost at each, half of
+  /// those still away after four pauses are lost.
+  Duration::rep PausesExpectedBack = 4;
   Duration PrefillPerToken = Duration(100);
   /// The time to export and import a token; nothing when the engine cannot.
   std::optional<Duration> TransferPerToken;
@@ -46,8 +48,13 @@
 /// How far an idle entry is from its next use. An entry that is overdue is
 /// expected to need as long again as it is late: programs whose tool hangs or
 /// that are gone so move back in the order without any timeout.
-Duration timeToNextUse(const CacheEntry &Entry,
-                       const RetentionSettings &Settings, TimePoint Now);
+Duration timeToNextUse(const CacheLedger &Ledger, const CacheEntry &Entry,
+                       TimePoint Now);
+
+/// The tokens of idle entries whose programs are expected back, and of those
+/// that lost their entry for lack of memory.
+TokenCount expectedBackTokens(const CacheLedger &Ledger,
+                              const RetentionSettings &Settings, TimePoint Now);
 
 /// Releases idle entries so that \p Reserved tokens of running calls and what
 /// stays idle fit the memory, plus those that the way does not keep at all. An
--- a/packages/gate/src/Admission.cpp
+++ b/packages/gate/src/Admission.cpp
@@ -35,6 +35,12 @@
   if (Call.Attained == 0 && Wait > State.Limits.NewProgramWait[Call.Class])
     return refusal(Call, ErrorKind::Overloaded,
                    "the wait is too long for a new program", ComeBack);
+  const bool BelowReserve =
+      State.RunningOf[Call.Class] < internal::reservedCalls(State, Call.Class);
+  if (Call.Attained == 0 && !BelowReserve &&
+      !internal::fitsWorkingSet(State, Call))
+    return refusal(Call, ErrorKind::Overloaded,
+                   "the programs under way need all memory", ComeBack);
   return std::nullopt;
 }
 
@@ -79,13 +85,21 @@
   return startWaiting(State, Now);
 }
 
-void onFirstToken(AdmissionState &State, const AttemptId &Id, TimePoint Now) {
+AdmissionActions onFirstToken(AdmissionState &State, const AttemptId &Id,
+                              TimePoint Now) {
   auto Found = State.Running.find(Id);
-  if (Found == State.Running.end() || Found->second.FirstTokenSeen)
-    return;
-  Found->second.FirstTokenSeen = true;
-  internal::learnPrefill(State.Estimate, Found->second.Call,
-                         Now - Found->second.Started);
+  if (Found == State.Running.end() ||
+      !internal::seeFirstToken(State, Found->second))
+    return {};
+  // Behind another call's prefill, the time tells nothing about this one.
+  if (Found->second.PrefilledAlone)
+    internal::learnPrefill(State.Estimate, Found->second.Call,
+                           Now - Found->second.Started);
+  return startWaiting(State, Now);
+}
+
+void onPausedTokens(AdmissionState &State, TokenCount Tokens) {
+  State.PausedTokens = Tokens;
 }
 
 AdmissionActions onTokenTime(AdmissionState &State, Duration Between,
--- a/packages/gate/src/AdmissionEstimate.cpp
+++ b/packages/gate/src/AdmissionEstimate.cpp
@@ -106,32 +106,40 @@
 
 } // namespace internal
 
+Duration expectedPrefill(const AdmissionState &State, const QueuedCall &Call) {
+  return fromMicroseconds(static_cast<double>(uncachedTokens(Call)) *
+                          State.Estimate.PrefillMicrosecondsPerToken);
+}
+
 Duration expectedService(const AdmissionState &State, const QueuedCall &Call) {
   const EndpointEstimate &Estimate = State.Estimate;
-  const double Prefill = static_cast<double>(uncachedTokens(Call)) *
-                         Estimate.PrefillMicrosecondsPerToken;
   const double Decode = static_cast<double>(Call.MaxTokens) *
                         Estimate.OutputRatio * Estimate.TokenMicroseconds;
-  return fromMicroseconds(Prefill + Decode);
+  return expectedPrefill(State, Call) + fromMicroseconds(Decode);
 }
 
 Duration expectedWait(const AdmissionState &State, CallClass Class) {
   const Duration Own = State.WaitingWork[Class];
-  if (internal::hasRoom(State, Class) && Own.count() == 0)
-    return Duration(0);
   Duration Ahead = Own;
+  Duration Prefill = State.PendingPrefill + State.WaitingPrefill[Class];
   for (CallClass Above : internal::AllClasses) {
-    if (Above < Class)
-      Ahead += State.WaitingWork[Above];
+    if (Above >= Class)
+      continue;
+    Ahead += State.WaitingWork[Above];
+    Prefill += State.WaitingPrefill[Above];
   }
+  Duration NextFree(0);
+  if (!internal::hasRoom(State, Class))
+    NextFree = workOver(fromMicroseconds(State.Estimate.ServiceMicroseconds),
+                        State.RunningLimit);
   // The calls a class has running tell the share it gets at present; work of
   // higher classes that has not come yet is so accounted for.
   const std::size_t Share =
       std::max(State.RunningOf[Class], internal::reservedCalls(State, Class));
-  const Duration NextFree = workOver(
-      fromMicroseconds(State.Estimate.ServiceMicroseconds), State.RunningLimit);
-  return NextFree +
-         std::max(workOver(Ahead, State.RunningLimit), workOver(Own, Share));
+  const Duration ForRoom =
+      NextFree +
+      std::max(workOver(Ahead, State.RunningLimit), workOver(Own, Share));
+  return std::max(ForRoom, Prefill - State.Limits.PrefillBacklog[Class]);
 }
 
 } // namespace tamarack
--- a/packages/gate/src/AdmissionQueue.cpp
+++ b/packages/gate/src/AdmissionQueue.cpp
@@ -139,8 +139,10 @@
 
 void enqueue(AdmissionState &State, const QueuedCall &Call) {
   const Duration Work = expectedService(State, Call);
-  State.Waiting[Call.Class].push_back({Call, Work});
+  const Duration Prefill = expectedPrefill(State, Call);
+  State.Waiting[Call.Class].push_back({Call, Work, Prefill});
   State.WaitingWork[Call.Class] += Work;
+  State.WaitingPrefill[Call.Class] += Prefill;
 }
 
 std::optional<QueuedCall> dequeue(AdmissionState &State, const AttemptId &Id) {
@@ -151,6 +153,7 @@
       continue;
     QueuedCall Call = std::move(Found->Call);
     State.WaitingWork[Class] -= Found->Work;
+    State.WaitingPrefill[Class] -= Found->Prefill;
     Calls.erase(Found);
     return Call;
   }
@@ -164,6 +167,7 @@
       Calls.push_back(std::move(Each.Call));
     State.Waiting[Class].clear();
     State.WaitingWork[Class] = Duration(0);
+    State.WaitingPrefill[Class] = Duration(0);
   }
   return Calls;
 }
@@ -178,13 +182,28 @@
   return State.ReservedTokens + tokensOf(Call) <= State.Limits.MemoryTokens;
 }
 
+bool fitsBacklog(const AdmissionState &State, const QueuedCall &Call) {
+  const Duration Bound = State.Limits.PrefillBacklog[Call.Class];
+  const Duration Pending = State.PendingPrefill;
+  return Pending.count() == 0 ||
+         Pending + expectedPrefill(State, Call) <= Bound;
+}
+
+bool fitsWorkingSet(const AdmissionState &State, const QueuedCall &Call) {
+  const double Bound = State.Limits.WorkingSetShare[Call.Class] *
+                       static_cast<double>(State.Limits.MemoryTokens);
+  const TokenCount Taken =
+      State.ReservedTokens + State.PausedTokens + tokensOf(Call);
+  return static_cast<double>(Taken) <= Bound;
+}
+
 std::optional<AttemptId> nextCall(const AdmissionState &State, TimePoint Now) {
   const QueuedCall *First = firstBelowReserve(State, Now);
   if (!First)
     First = firstByRank(State, Now);
   // A large call at the head waits for memory and is not passed by smaller
   // ones, which could keep it waiting for ever.
-  if (!First || !fitsMemory(State, *First))
+  if (!First || !fitsMemory(State, *First) || !fitsBacklog(State, *First))
     return std::nullopt;
   return First->Id;
 }
@@ -193,15 +212,27 @@
   std::optional<QueuedCall> Call = dequeue(State, Id);
   if (!Call)
     return;
+  const Duration Prefill = expectedPrefill(State, *Call);
+  const bool Alone = State.PendingPrefill.count() == 0;
   State.ReservedTokens += tokensOf(*Call);
+  State.PendingPrefill += Prefill;
   ++State.RunningOf[Call->Class];
-  State.Running.emplace(Id, RunningCall{*Call, Now, false});
+  State.Running.emplace(Id, RunningCall{*Call, Now, false, Prefill, Alone});
+}
+
+bool seeFirstToken(AdmissionState &State, RunningCall &Call) {
+  if (Call.FirstTokenSeen)
+    return false;
+  Call.FirstTokenSeen = true;
+  State.PendingPrefill -= Call.Prefill;
+  return true;
 }
 
 std::optional<RunningCall> endCall(AdmissionState &State, const AttemptId &Id) {
   auto Found = State.Running.find(Id);
   if (Found == State.Running.end())
     return std::nullopt;
+  seeFirstToken(State, Found->second);
   RunningCall Ended = std::move(Found->second);
   State.Running.erase(Found);
   State.ReservedTokens -= tokensOf(Ended.Call);
--- a/packages/gate/src/AdmissionQueue.h
+++ b/packages/gate/src/AdmissionQueue.h
@@ -29,9 +29,16 @@
 /// Whether a call of \p Class could start at once if none waited before it.
 bool hasRoom(const AdmissionState &State, CallClass Class);
 bool fitsMemory(const AdmissionState &State, const QueuedCall &Call);
+/// Whether the calls already sent leave the engine time to prefill \p Call.
+bool fitsBacklog(const AdmissionState &State, const QueuedCall &Call);
+/// Whether \p Call may begin a program without evicting caches of others that
+/// are expected back.
+bool fitsWorkingSet(const AdmissionState &State, const QueuedCall &Call);
 /// The attempt to start next; nothing when none may start now.
 std::optional<AttemptId> nextCall(const AdmissionState &State, TimePoint Now);
 void startCall(AdmissionState &State, const AttemptId &Id, TimePoint Now);
+/// Notes the first token; false when it was noted before.
+bool seeFirstToken(AdmissionState &State, RunningCall &Call);
 std::optional<RunningCall> endCall(AdmissionState &State, const AttemptId &Id);
 
 } // namespace tamarack::internal
--- a/packages/gate/src/CacheLedger.cpp
+++ b/packages/gate/src/CacheLedger.cpp
@@ -1,11 +1,15 @@
 #include "tamarack/gate/CacheLedger.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace tamarack {
 
 namespace {
 
+/// A new pause counts as one part in this many of the mean.
+constexpr Duration::rep PauseWeight = 32;
+
 CacheEntry *find(CacheLedger &Ledger, const ProgramId &Program) {
   auto Found = Ledger.Entries.find(Program);
   return Found == Ledger.Entries.end() ? nullptr : &Found->second;
@@ -72,8 +76,21 @@
 
 } // namespace
 
+void onCallQueued(CacheLedger &Ledger, const ProgramId &Program,
+                  TimePoint Now) {
+  if (auto Gone = Ledger.Evicted.find(Program); Gone != Ledger.Evicted.end())
+    Gone->second.NextUse = Now;
+  CacheEntry *Entry = find(Ledger, Program);
+  if (!Entry || Entry->State == CacheState::InUse)
+    return;
+  if (!Entry->NextUse)
+    Ledger.MeanPause += (Now - Entry->LastUse - Ledger.MeanPause) / PauseWeight;
+  onToolPauseStarted(Ledger, Program, Duration(0), Now);
+}
+
 void onUse(CacheLedger &Ledger, const ProgramId &Program,
            const InstanceId &Owner, TokenCount Tokens, TimePoint Now) {
+  Ledger.Evicted.erase(Program);
   CacheEntry &Entry = Ledger.Entries[Program];
   Entry.Program = Program;
   Entry.Owner = Owner;
@@ -118,6 +135,10 @@
 
 CacheActions onProgramEnded(CacheLedger &Ledger, const ProgramId &Program,
                             TimePoint Now) {
+  for (auto Each = Ledger.Evicted.begin(); Each != Ledger.Evicted.end();) {
+    const bool Within = isWithin(Each->first, Program);
+    Each = Within ? Ledger.Evicted.erase(Each) : std::next(Each);
+  }
   CacheActions Actions;
   for (auto &[Id, Entry] : Ledger.Entries) {
     if (!isWithin(Id, Program))
--- a/packages/gate/src/Retention.cpp
+++ b/packages/gate/src/Retention.cpp
@@ -1,11 +1,15 @@
 #include "tamarack/gate/Retention.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace tamarack {
 
 namespace {
 
+/// Shorter pauses tell less than the time a queue may take.
+constexpr Duration LeastPause = std::chrono::seconds(5);
+
 bool isReleasable(const CacheEntry &Entry) {
   return Entry.State == CacheState::Idle ||
          Entry.State == CacheState::Unclaimed;
@@ -20,11 +24,22 @@
          Now - Entry.LastUse >= Settings.FixedTime;
 }
 
+TimePoint nextUse(const CacheLedger &Ledger, const CacheEntry &Entry) {
+  return Entry.NextUse.value_or(Entry.LastUse + Ledger.MeanPause);
+}
+
+bool isExpectedBack(const CacheLedger &Ledger, const CacheEntry &Entry,
+                    const RetentionSettings &Settings, TimePoint Now) {
+  const Duration Pause =
+      std::max(nextUse(Ledger, Entry) - Entry.LastUse, LeastPause);
+  return Now - Entry.LastUse <= Pause * Settings.PausesExpectedBack;
+}
+
 /// The greater, the sooner the entry is released.
-Duration releaseRank(const CacheEntry &Entry, const RetentionSettings &Settings,
-                     TimePoint Now) {
+Duration releaseRank(const CacheLedger &Ledger, const CacheEntry &Entry,
+                     const RetentionSettings &Settings, TimePoint Now) {
   if (Settings.Way == RetentionWay::ExpectedNextUse)
-    return timeToNextUse(Entry, Settings, Now);
+    return timeToNextUse(Ledger, Entry, Now);
   return Now - Entry.LastUse;
 }
 
@@ -40,7 +55,7 @@
   std::vector<Candidate> Found;
   for (const auto &[Program, Entry] : Ledger.Entries) {
     if (isReleasable(Entry))
-      Found.push_back({releaseRank(Entry, Settings, Now), &Entry});
+      Found.push_back({releaseRank(Ledger, Entry, Settings, Now), &Entry});
   }
   std::stable_sort(Found.begin(), Found.end(),
                    [](const Candidate &Left, const Candidate &Right) {
@@ -49,6 +64,14 @@
   return Found;
 }
 
+void dropLongEvicted(CacheLedger &Ledger, const RetentionSettings &Settings,
+                     TimePoint Now) {
+  for (auto Each = Ledger.Evicted.begin(); Each != Ledger.Evicted.end();) {
+    const bool Back = isExpectedBack(Ledger, Each->second, Settings, Now);
+    Each = Back ? std::next(Each) : Ledger.Evicted.erase(Each);
+  }
+}
+
 /// Tokens held idle that were not told to be released yet.
 TokenCount keptTokens(const std::vector<Candidate> &Entries) {
   TokenCount Sum = 0;
@@ -73,15 +96,30 @@
   return "";
 }
 
-Duration timeToNextUse(const CacheEntry &Entry,
-                       const RetentionSettings &Settings, TimePoint Now) {
-  const TimePoint Expected =
-      Entry.NextUse.value_or(Entry.LastUse + Settings.UnhintedPause);
+Duration timeToNextUse(const CacheLedger &Ledger, const CacheEntry &Entry,
+                       TimePoint Now) {
+  const TimePoint Expected = nextUse(Ledger, Entry);
   return Now < Expected ? Expected - Now : Now - Expected;
 }
 
+TokenCount expectedBackTokens(const CacheLedger &Ledger,
+                              const RetentionSettings &Settings,
+                              TimePoint Now) {
+  TokenCount Sum = 0;
+  for (const auto &[Program, Entry] : Ledger.Entries) {
+    if (isReleasable(Entry) && isExpectedBack(Ledger, Entry, Settings, Now))
+      Sum += Entry.Tokens;
+  }
+  for (const auto &[Program, Entry] : Ledger.Evicted) {
+    if (isExpectedBack(Ledger, Entry, Settings, Now))
+      Sum += Entry.Tokens;
+  }
+  return Sum;
+}
+
 CacheActions makeRoom(CacheLedger &Ledger, const RetentionSettings &Settings,
                       TokenCount Reserved, TimePoint Now) {
+  dropLongEvicted(Ledger, Settings, Now);
   const std::vector<Candidate> Order = candidates(Ledger, Settings, Now);
   const bool Transfers = Settings.TransferPerToken &&
                          *Settings.TransferPerToken < Settings.PrefillPerToken;
@@ -93,6 +131,8 @@
     if (!Short && !isUnwanted(Entry, Settings, Now))
       continue;
     Kept -= Entry.Tokens;
+    if (Short && isExpectedBack(Ledger, Entry, Settings, Now))
+      Ledger.Evicted[Entry.Program] = Entry;
     const CacheActions Release = release(Ledger, Entry.Program, Now);
     if (Transfers && Short)
       Actions.push_back(ExportCache{Entry.Program});
