Share the working set between the classes by their reserves

Cause: a class below its reserve of running calls was let in whatever the memory held, and since the reserve counts running calls it was nearly always below it: paused programs piled up.

Done: the reserve is a share of the working set; entries carry their class.

--- a/packages/gate/bench/Trial.cpp
+++ b/packages/gate/bench/Trial.cpp
@@ -192,6 +192,11 @@
     return Call;
   }
 
+  CallClass classOf(const LiveProgram &Program) const {
+    return Settings.Policy == TrialPolicy::Gate ? Program.kind().Class
+                                                : CallClass::Normal;
+  }
+
   void submit(std::size_t Index) {
     LiveProgram &Program = Programs[Index];
     ++Program.Attempt;
@@ -224,7 +229,7 @@
       Result.Prefilled += Program.PrefilledNow;
       Result.PrefilledAgain += Program.History - Cached;
     }
-    onUse(Ledger, idOf(Index), Owner, Program.prompt(), Now);
+    onUse(Ledger, idOf(Index), Owner, Program.prompt(), Now, classOf(Program));
     Engine.submit({Index, Program.prompt(), Cached, Program.turn().Output});
     release(makeRoom(Ledger, Retention, reservedTokens(), Now));
   }
--- a/packages/gate/include/tamarack/gate/Admission.h
+++ b/packages/gate/include/tamarack/gate/Admission.h
@@ -16,30 +16,13 @@
 #define TAMARACK_GATE_ADMISSION_H
 
 #include "tamarack/gate/Attempts.h"
+#include "tamarack/gate/CallClass.h"
 
-#include <array>
 #include <variant>
 #include <vector>
 
 namespace tamarack {
 
-enum class CallClass { High, Normal, Low };
-
-constexpr std::size_t CallClassCount = 3;
-
-/// A value for each CallClass.
-template <typename T> struct PerClass {
-  std::array<T, CallClassCount> Values{};
-
-  T &operator[](CallClass Class) {
-    return Values[static_cast<std::size_t>(Class)];
-  }
-  const T &operator[](CallClass Class) const {
-    return Values[static_cast<std::size_t>(Class)];
-  }
-  auto tied() const { return std::tie(Values); }
-};
-
 struct QueuedCall {
   AttemptId Id;
   CallClass Class = CallClass::Normal;
@@ -97,10 +80,12 @@
   PerClass<Duration> PrefillBacklog{{std::chrono::milliseconds(900),
                                      std::chrono::milliseconds(400),
                                      std::chrono::milliseconds(200)}};
-  /// The part of the memory up to which a new program is let in, counting the
-  /// calls that run and the caches of paused programs that are expected back.
-  /// More programs would only evict each other's caches.
-  PerClass<double> WorkingSetShare{{1.0, 0.9, 0.8}};
+  /// The part of the memory that programs under way may take: the calls that
+  /// run and the caches of paused programs that are expected back. More
+  /// programs would only evict each other's caches. Each class has its
+  /// reserved share of this part as well, and new programs of other classes
+  /// keep it free.
+  double WorkingSetShare = 0.9;
 
   auto tied() const {
     return std::tie(QueueBound, MaxBatch, InitialRunning, MinRunning,
@@ -156,8 +141,9 @@
   TokenCount ReservedTokens = 0;
   /// The expected prefill of running calls without a first token.
   Duration PendingPrefill{0};
+  PerClass<TokenCount> ReservedTokensOf;
   /// Caches of paused programs that are expected back.
-  TokenCount PausedTokens = 0;
+  PerClass<TokenCount> PausedTokens;
   double ReviewSum = 0;
   std::size_t ReviewCount = 0;
   bool Draining = false;
@@ -194,8 +180,8 @@
                               TimePoint Now);
 
 /// The tokens in caches of paused programs that are expected back, as
-/// expectedBackTokens tells. To be reported whenever a call starts or ends.
-void onPausedTokens(AdmissionState &State, TokenCount Tokens);
+/// expectedBackTokens tells. To be reported before every arrival.
+void onPausedTokens(AdmissionState &State, const PerClass<TokenCount> &Tokens);
 
 /// A time between two tokens of one stream was observed.
 AdmissionActions onTokenTime(AdmissionState &State, Duration Between,
--- a/packages/gate/include/tamarack/gate/CacheLedger.h
+++ b/packages/gate/include/tamarack/gate/CacheLedger.h
@@ -18,6 +18,7 @@
 #include "tamarack/base/Clock.h"
 #include "tamarack/base/Compare.h"
 #include "tamarack/base/Ids.h"
+#include "tamarack/gate/CallClass.h"
 
 #include <map>
 #include <optional>
@@ -50,10 +51,12 @@
   TimePoint Until;
   /// The program has ended while its last call was running.
   bool Ended = false;
+  /// The class of the program's last call.
+  CallClass Class = CallClass::Normal;
 
   auto tied() const {
     return std::tie(Program, Owner, Tokens, LastUse, NextUse, State, Until,
-                    Ended);
+                    Ended, Class);
   }
 };
 
@@ -104,7 +107,8 @@
 
 /// A call of \p Program is being sent, with \p Tokens of prompt.
 void onUse(CacheLedger &Ledger, const ProgramId &Program,
-           const InstanceId &Owner, TokenCount Tokens, TimePoint Now);
+           const InstanceId &Owner, TokenCount Tokens, TimePoint Now,
+           CallClass Class = CallClass::Normal);
 
 /// The call has ended and left \p Tokens in the cache. Releases the entry when
 /// the program ended meanwhile.
--- a/packages/gate/include/tamarack/gate/Retention.h
+++ b/packages/gate/include/tamarack/gate/Retention.h
@@ -53,8 +53,9 @@
 
 /// The tokens of idle entries whose programs are expected back, and of those
 /// that lost their entry for lack of memory.
-TokenCount expectedBackTokens(const CacheLedger &Ledger,
-                              const RetentionSettings &Settings, TimePoint Now);
+PerClass<TokenCount> expectedBackTokens(const CacheLedger &Ledger,
+                                        const RetentionSettings &Settings,
+                                        TimePoint Now);
 
 /// Releases idle entries so that \p Reserved tokens of running calls and what
 /// stays idle fit the memory, plus those that the way does not keep at all. An
--- a/packages/gate/src/Admission.cpp
+++ b/packages/gate/src/Admission.cpp
@@ -7,8 +7,6 @@
 
 namespace tamarack {
 
-using internal::AllClasses;
-
 namespace {
 
 RefuseCall refusal(const QueuedCall &Call, ErrorKind Kind, std::string Message,
@@ -98,7 +96,7 @@
   return startWaiting(State, Now);
 }
 
-void onPausedTokens(AdmissionState &State, TokenCount Tokens) {
+void onPausedTokens(AdmissionState &State, const PerClass<TokenCount> &Tokens) {
   State.PausedTokens = Tokens;
 }
 
--- a/packages/gate/src/AdmissionEstimate.cpp
+++ b/packages/gate/src/AdmissionEstimate.cpp
@@ -122,7 +122,7 @@
   const Duration Own = State.WaitingWork[Class];
   Duration Ahead = Own;
   Duration Prefill = State.PendingPrefill + State.WaitingPrefill[Class];
-  for (CallClass Above : internal::AllClasses) {
+  for (CallClass Above : AllClasses) {
     if (Above >= Class)
       continue;
     Ahead += State.WaitingWork[Above];
--- a/packages/gate/src/AdmissionQueue.cpp
+++ b/packages/gate/src/AdmissionQueue.cpp
@@ -87,6 +87,12 @@
   return First;
 }
 
+/// The memory that programs of \p Class need to go on without prefilling again.
+double workingSet(const AdmissionState &State, CallClass Class) {
+  return static_cast<double>(State.ReservedTokensOf[Class] +
+                             State.PausedTokens[Class]);
+}
+
 auto findWaiting(std::vector<WaitingCall> &Calls, const AttemptId &Id) {
   return std::find_if(Calls.begin(), Calls.end(), [&](const WaitingCall &Each) {
     return Each.Call.Id == Id;
@@ -190,11 +196,22 @@
 }
 
 bool fitsWorkingSet(const AdmissionState &State, const QueuedCall &Call) {
-  const double Bound = State.Limits.WorkingSetShare[Call.Class] *
+  const double Bound = State.Limits.WorkingSetShare *
                        static_cast<double>(State.Limits.MemoryTokens);
-  const TokenCount Taken =
-      State.ReservedTokens + State.PausedTokens + tokensOf(Call);
-  return static_cast<double>(Taken) <= Bound;
+  const auto Needed = static_cast<double>(tokensOf(Call));
+  double Taken = 0;
+  double KeptForOthers = 0;
+  for (CallClass Class : AllClasses) {
+    const double Used = workingSet(State, Class);
+    const double Reserved = State.Limits.ReservedShare[Class] * Bound;
+    Taken += Used;
+    if (Class == Call.Class && Used + Needed <= Reserved)
+      return true;
+    if (Class != Call.Class)
+      KeptForOthers += std::max(0.0, Reserved - Used);
+  }
+  // A program that has the endpoint to itself evicts nobody.
+  return Taken == 0 || Taken + KeptForOthers + Needed <= Bound;
 }
 
 std::optional<AttemptId> nextCall(const AdmissionState &State, TimePoint Now) {
@@ -215,6 +232,7 @@
   const Duration Prefill = expectedPrefill(State, *Call);
   const bool Alone = State.PendingPrefill.count() == 0;
   State.ReservedTokens += tokensOf(*Call);
+  State.ReservedTokensOf[Call->Class] += tokensOf(*Call);
   State.PendingPrefill += Prefill;
   ++State.RunningOf[Call->Class];
   State.Running.emplace(Id, RunningCall{*Call, Now, false, Prefill, Alone});
@@ -236,6 +254,7 @@
   RunningCall Ended = std::move(Found->second);
   State.Running.erase(Found);
   State.ReservedTokens -= tokensOf(Ended.Call);
+  State.ReservedTokensOf[Ended.Call.Class] -= tokensOf(Ended.Call);
   --State.RunningOf[Ended.Call.Class];
   return Ended;
 }
--- a/packages/gate/src/AdmissionQueue.h
+++ b/packages/gate/src/AdmissionQueue.h
@@ -7,9 +7,6 @@
 
 namespace tamarack::internal {
 
-constexpr std::array<CallClass, CallClassCount> AllClasses{
-    CallClass::High, CallClass::Normal, CallClass::Low};
-
 std::size_t waitingCalls(const AdmissionState &State);
 /// How many calls may wait when one of \p Class comes; lower classes leave
 /// room for the higher ones.
--- a/packages/gate/src/CacheLedger.cpp
+++ b/packages/gate/src/CacheLedger.cpp
@@ -89,11 +89,13 @@
 }
 
 void onUse(CacheLedger &Ledger, const ProgramId &Program,
-           const InstanceId &Owner, TokenCount Tokens, TimePoint Now) {
+           const InstanceId &Owner, TokenCount Tokens, TimePoint Now,
+           CallClass Class) {
   Ledger.Evicted.erase(Program);
   CacheEntry &Entry = Ledger.Entries[Program];
   Entry.Program = Program;
   Entry.Owner = Owner;
+  Entry.Class = Class;
   Entry.Tokens = std::max(Entry.Tokens, Tokens);
   Entry.LastUse = Now;
   Entry.NextUse.reset();
--- a/packages/gate/src/Retention.cpp
+++ b/packages/gate/src/Retention.cpp
@@ -102,17 +102,17 @@
   return Now < Expected ? Expected - Now : Now - Expected;
 }
 
-TokenCount expectedBackTokens(const CacheLedger &Ledger,
-                              const RetentionSettings &Settings,
-                              TimePoint Now) {
-  TokenCount Sum = 0;
+PerClass<TokenCount> expectedBackTokens(const CacheLedger &Ledger,
+                                        const RetentionSettings &Settings,
+                                        TimePoint Now) {
+  PerClass<TokenCount> Sum;
   for (const auto &[Program, Entry] : Ledger.Entries) {
     if (isReleasable(Entry) && isExpectedBack(Ledger, Entry, Settings, Now))
-      Sum += Entry.Tokens;
+      Sum[Entry.Class] += Entry.Tokens;
   }
   for (const auto &[Program, Entry] : Ledger.Evicted) {
     if (isExpectedBack(Ledger, Entry, Settings, Now))
-      Sum += Entry.Tokens;
+      Sum[Entry.Class] += Entry.Tokens;
   }
   return Sum;
 }
