Let a refused program of a higher class go before new ones of lower classes

Done: for a period after a refusal for memory, lower classes begin programs only within their own share.

--- a/packages/gate/include/tamarack/gate/Admission.h
+++ b/packages/gate/include/tamarack/gate/Admission.h
@@ -86,6 +86,10 @@
   /// reserved share of this part as well, and new programs of other classes
   /// keep it free.
   double WorkingSetShare = 0.9;
+  /// For so long after a program of a higher class was refused for lack of
+  /// memory, lower classes only begin programs within their own share. Covers
+  /// the time in which the refused program comes back.
+  Duration PrecedencePeriod = std::chrono::seconds(5);
 
   auto tied() const {
     return std::tie(QueueBound, MaxBatch, InitialRunning, MinRunning,
@@ -93,7 +97,7 @@
                     ReservedShare, NewProgramWait, AgeingPeriod,
                     AgeingTokensPerSecond, HoldAbove, HoldBelow, ReviewSamples,
                     DecreaseFactor, InitialPrefillPerToken, PrefillBacklog,
-                    WorkingSetShare);
+                    WorkingSetShare, PrecedencePeriod);
   }
 };
 
@@ -144,6 +148,8 @@
   PerClass<TokenCount> ReservedTokensOf;
   /// Caches of paused programs that are expected back.
   PerClass<TokenCount> PausedTokens;
+  /// When a program of the class was last refused for lack of memory.
+  PerClass<std::optional<TimePoint>> CrowdedOut;
   double ReviewSum = 0;
   std::size_t ReviewCount = 0;
   bool Draining = false;
--- a/packages/gate/src/Admission.cpp
+++ b/packages/gate/src/Admission.cpp
@@ -33,15 +33,22 @@
   if (Call.Attained == 0 && Wait > State.Limits.NewProgramWait[Call.Class])
     return refusal(Call, ErrorKind::Overloaded,
                    "the wait is too long for a new program", ComeBack);
-  const bool BelowReserve =
-      State.RunningOf[Call.Class] < internal::reservedCalls(State, Call.Class);
-  if (Call.Attained == 0 && !BelowReserve &&
-      !internal::fitsWorkingSet(State, Call))
-    return refusal(Call, ErrorKind::Overloaded,
-                   "the programs under way need all memory", ComeBack);
   return std::nullopt;
 }
 
+/// Refuses a new program for which the programs under way leave no memory.
+std::optional<RefuseCall> refuseCrowdedOut(AdmissionState &State,
+                                           const QueuedCall &Call,
+                                           TimePoint Now) {
+  if (Call.Attained != 0 || internal::fitsWorkingSet(State, Call, Now))
+    return std::nullopt;
+  State.CrowdedOut[Call.Class] = Now;
+  const Duration Wait = expectedWait(State, Call.Class);
+  return refusal(Call, ErrorKind::Overloaded,
+                 "the programs under way need all memory",
+                 internal::timeToComeBack(Wait, Call.Id.Program));
+}
+
 AdmissionActions startWaiting(AdmissionState &State, TimePoint Now) {
   AdmissionActions Actions;
   while (std::optional<AttemptId> Next = internal::nextCall(State, Now)) {
@@ -79,6 +86,8 @@
                              NotRun::Unproved, std::nullopt}}};
   if (auto Refused = reasonToRefuse(State, Call, Now))
     return {*Refused};
+  if (auto Refused = refuseCrowdedOut(State, Call, Now))
+    return {*Refused};
   internal::enqueue(State, Call);
   return startWaiting(State, Now);
 }
--- a/packages/gate/src/AdmissionQueue.cpp
+++ b/packages/gate/src/AdmissionQueue.cpp
@@ -93,6 +93,18 @@
                              State.PausedTokens[Class]);
 }
 
+/// Whether a program of a class above \p Class was refused for lack of memory
+/// recently and may come back for it.
+bool hasPrecedenceOver(const AdmissionState &State, CallClass Class,
+                       TimePoint Now) {
+  return std::any_of(AllClasses.begin(), AllClasses.end(),
+                     [&](CallClass Above) {
+                       const auto &Refused = State.CrowdedOut[Above];
+                       return Above < Class && Refused &&
+                              Now - *Refused < State.Limits.PrecedencePeriod;
+                     });
+}
+
 auto findWaiting(std::vector<WaitingCall> &Calls, const AttemptId &Id) {
   return std::find_if(Calls.begin(), Calls.end(), [&](const WaitingCall &Each) {
     return Each.Call.Id == Id;
@@ -195,7 +207,8 @@
          Pending + expectedPrefill(State, Call) <= Bound;
 }
 
-bool fitsWorkingSet(const AdmissionState &State, const QueuedCall &Call) {
+bool fitsWorkingSet(const AdmissionState &State, const QueuedCall &Call,
+                    TimePoint Now) {
   const double Bound = State.Limits.WorkingSetShare *
                        static_cast<double>(State.Limits.MemoryTokens);
   const auto Needed = static_cast<double>(tokensOf(Call));
@@ -211,7 +224,10 @@
       KeptForOthers += std::max(0.0, Reserved - Used);
   }
   // A program that has the endpoint to itself evicts nobody.
-  return Taken == 0 || Taken + KeptForOthers + Needed <= Bound;
+  if (Taken == 0)
+    return true;
+  return Taken + KeptForOthers + Needed <= Bound &&
+         !hasPrecedenceOver(State, Call.Class, Now);
 }
 
 std::optional<AttemptId> nextCall(const AdmissionState &State, TimePoint Now) {
--- a/packages/gate/src/AdmissionQueue.h
+++ b/packages/gate/src/AdmissionQueue.h
@@ -30,7 +30,8 @@
 bool fitsBacklog(const AdmissionState &State, const QueuedCall &Call);
 /// Whether \p Call may begin a program without evicting caches of others that
 /// are expected back.
-bool fitsWorkingSet(const AdmissionState &State, const QueuedCall &Call);
+bool fitsWorkingSet(const AdmissionState &State, const QueuedCall &Call,
+                    TimePoint Now);
 /// The attempt to start next; nothing when none may start now.
 std::optional<AttemptId> nextCall(const AdmissionState &State, TimePoint Now);
 void startCall(AdmissionState &State, const AttemptId &Id, TimePoint Now);
