--- a/packages/gate/include/tamarack/gate/Admission.h
+++ b/packages/gate/include/tamarack/gate/Admission.h
@@ -16,30 +16,13 @@
 #define TAMARACK_GATE_ADMISSION_H
 
 #include "tamarack/gate/Attempts.h"
+#include "tamarack/gate/CallClass.h"
 
-#include <array>
 #include <variant>
 #include <vector>
 
 namespace tamarack {
 
-enum class CallClass { High, Normal, Low };
-
-constexpr std::size_t CallClassCount = 3;
-
-/// A value for each CallClass.
-template <typename T> struct PerClass {
-  std::array<T, CallClassCount> Values{};
-
-  T &operator[](CallClass Class) {
-    return Values[static_cast<std::size_t>(Class)];
-  }
-  const T &operator[](CallClass Class) const {
-    return Values[static_cast<std::size_t>(Class)];
-  }
-  auto tied() const { return std::tie(Values); }
-};
-
 struct QueuedCall {
   AttemptId Id;
   CallClass Class = CallClass::Normal;
@@ -91,26 +74,48 @@
   double DecreaseFactor = 0.9;
   /// Used until a first token was seen.
   Duration InitialPrefillPerToken = Duration(100);
+  /// The prefill time that calls already sent may still need when a call of a
+  /// class is started. Engines prefill in the order of arrival, so this bounds
+  /// how long the first token of an urgent call waits behind others.
+  PerClass<Duration> PrefillBacklog{{std::chrono::milliseconds(900),
+                                     std::chrono::milliseconds(400),
+                                     std::chrono::milliseconds(200)}};
+  /// The part of the memory that programs under way may take: the calls that
+  /// run and the caches of paused programs that are expected back. More
+  /// programs would only evict each other's caches. Each class has its
+  /// reserved share of this part as well, and new programs of other classes
+  /// keep it free.
+  double WorkingSetShare = 0.9;
+  /// For so long after a program of a higher class was refused for lack of
+  /// memory, lower classes only begin programs within their own share. Covers
+  /// the time in which the refused program comes back.
+  Duration PrecedencePeriod = std::chrono::seconds(5);
 
   auto tied() const {
     return std::tie(QueueBound, MaxBatch, InitialRunning, MinRunning,
                     MemoryTokens, TokenTimeTarget, FirstTokenTarget,
                     ReservedShare, NewProgramWait, AgeingPeriod,
                     AgeingTokensPerSecond, HoldAbove, HoldBelow, ReviewSamples,
-                    DecreaseFactor, InitialPrefillPerToken);
+                    DecreaseFactor, InitialPrefillPerToken, PrefillBacklog,
+                    WorkingSetShare, PrecedencePeriod);
   }
 };
 
 struct WaitingCall {
   QueuedCall Call;
-  /// The service time expected when it arrived.
+  /// The service time expected when it arrived, and the prefill's part of it.
   Duration Work{0};
+  Duration Prefill{0};
 };
 
 struct RunningCall {
   QueuedCall Call;
   TimePoint Started;
   bool FirstTokenSeen = false;
+  /// The prefill time expected when it started.
+  Duration Prefill{0};
+  /// No other call was being prefilled when it started.
+  bool PrefilledAlone = false;
 };
 
 /// What was learned about the endpoint from its answers.
@@ -134,9 +139,17 @@
   EndpointEstimate Estimate;
   PerClass<std::vector<WaitingCall>> Waiting;
   PerClass<Duration> WaitingWork;
+  PerClass<Duration> WaitingPrefill;
   PerClass<std::size_t> RunningOf;
   std::map<AttemptId, RunningCall> Running;
   TokenCount ReservedTokens = 0;
+  /// The expected prefill of running calls without a first token.
+  Duration PendingPrefill{0};
+  PerClass<TokenCount> ReservedTokensOf;
+  /// Caches of paused programs that are expected back.
+  PerClass<TokenCount> PausedTokens;
+  /// When a program of the class was last refused for lack of memory.
+  PerClass<std::optional<TimePoint>> CrowdedOut;
   double ReviewSum = 0;
   std::size_t ReviewCount = 0;
   bool Draining = false;
@@ -169,7 +182,12 @@
                            TimePoint Now);
 
 /// The first token of a running call has come.
-void onFirstToken(AdmissionState &State, const AttemptId &Id, TimePoint Now);
+AdmissionActions onFirstToken(AdmissionState &State, const AttemptId &Id,
+                              TimePoint Now);
+
+/// The tokens in caches of paused programs that are expected back, as
+/// expectedBackTokens tells. To be reported before every arrival.
+void onPausedTokens(AdmissionState &State, const PerClass<TokenCount> &Tokens);
 
 /// A time between two tokens of one stream was observed.
 AdmissionActions onTokenTime(AdmissionState &State, Duration Between,
@@ -213,6 +231,9 @@
 
 QueueReport report(const AdmissionState &State);
 
+/// The prefill time to expect for \p Call.
+Duration expectedPrefill(const AdmissionState &State, const QueuedCall &Call);
+
 /// The service time to expect for \p Call once it has started.
 Duration expectedService(const AdmissionState &State, const QueuedCall &Call);
 
--- a/packages/gate/src/Admission.cpp
+++ b/packages/gate/src/Admission.cpp
@@ -7,8 +7,6 @@
 
 namespace tamarack {
 
-using internal::AllClasses;
-
 namespace {
 
 RefuseCall refusal(const QueuedCall &Call, ErrorKind Kind, std::string Message,
@@ -38,6 +36,19 @@
   return std::nullopt;
 }
 
+/// Refuses a new program for which the programs under way leave no memory.
+std::optional<RefuseCall> refuseCrowdedOut(AdmissionState &State,
+                                           const QueuedCall &Call,
+                                           TimePoint Now) {
+  if (Call.Attained != 0 || internal::fitsWorkingSet(State, Call, Now))
+    return std::nullopt;
+  State.CrowdedOut[Call.Class] = Now;
+  const Duration Wait = expectedWait(State, Call.Class);
+  return refusal(Call, ErrorKind::Overloaded,
+                 "the programs under way need all memory",
+                 internal::timeToComeBack(Wait, Call.Id.Program));
+}
+
 AdmissionActions startWaiting(AdmissionState &State, TimePoint Now) {
   AdmissionActions Actions;
   while (std::optional<AttemptId> Next = internal::nextCall(State, Now)) {
@@ -75,17 +86,27 @@
                              NotRun::Unproved, std::nullopt}}};
   if (auto Refused = reasonToRefuse(State, Call, Now))
     return {*Refused};
+  if (auto Refused = refuseCrowdedOut(State, Call, Now))
+    return {*Refused};
   internal::enqueue(State, Call);
   return startWaiting(State, Now);
 }
 
-void onFirstToken(AdmissionState &State, const AttemptId &Id, TimePoint Now) {
+AdmissionActions onFirstToken(AdmissionState &State, const AttemptId &Id,
+                              TimePoint Now) {
   auto Found = State.Running.find(Id);
-  if (Found == State.Running.end() || Found->second.FirstTokenSeen)
-    return;
-  Found->second.FirstTokenSeen = true;
-  internal::learnPrefill(State.Estimate, Found->second.Call,
-                         Now - Found->second.Started);
+  if (Found == State.Running.end() ||
+      !internal::seeFirstToken(State, Found->second))
+    return {};
+  // Behind another call's prefill, the time tells nothing about this one.
+  if (Found->second.PrefilledAlone)
+    internal::learnPrefill(State.Estimate, Found->second.Call,
+                           Now - Found->second.Started);
+  return startWaiting(State, Now);
+}
+
+void onPausedTokens(AdmissionState &State, const PerClass<TokenCount> &Tokens) {
+  State.PausedTokens = Tokens;
 }
 
 AdmissionActions onTokenTime(AdmissionState &State, Duration Between,
--- a/packages/gate/src/AdmissionQueue.cpp
+++ b/packages/gate/src/AdmissionQueue.cpp
@@ -87,6 +87,24 @@
   return First;
 }
 
+/// The memory that programs of \p Class need to go on without prefilling again.
+double workingSet(const AdmissionState &State, CallClass Class) {
+  return static_cast<double>(State.ReservedTokensOf[Class] +
+                             State.PausedTokens[Class]);
+}
+
+/// Whether a program of a class above \p Class was refused for lack of memory
+/// recently and may come back for it.
+bool hasPrecedenceOver(const AdmissionState &State, CallClass Class,
+                       TimePoint Now) {
+  return std::any_of(AllClasses.begin(), AllClasses.end(),
+                     [&](CallClass Above) {
+                       const auto &Refused = State.CrowdedOut[Above];
+                       return Above < Class && Refused &&
+                              Now - *Refused < State.Limits.PrecedencePeriod;
+                     });
+}
+
 auto findWaiting(std::vector<WaitingCall> &Calls, const AttemptId &Id) {
   return std::find_if(Calls.begin(), Calls.end(), [&](const WaitingCall &Each) {
     return Each.Call.Id == Id;
@@ -139,8 +157,10 @@
 
 void enqueue(AdmissionState &State, const QueuedCall &Call) {
   const Duration Work = expectedService(State, Call);
-  State.Waiting[Call.Class].push_back({Call, Work});
+  const Duration Prefill = expectedPrefill(State, Call);
+  State.Waiting[Call.Class].push_back({Call, Work, Prefill});
   State.WaitingWork[Call.Class] += Work;
+  State.WaitingPrefill[Call.Class] += Prefill;
 }
 
 std::optional<QueuedCall> dequeue(AdmissionState &State, const AttemptId &Id) {
@@ -151,6 +171,7 @@
       continue;
     QueuedCall Call = std::move(Found->Call);
     State.WaitingWork[Class] -= Found->Work;
+    State.WaitingPrefill[Class] -= Found->Prefill;
     Calls.erase(Found);
     return Call;
   }
@@ -164,6 +185,7 @@
       Calls.push_back(std::move(Each.Call));
     State.Waiting[Class].clear();
     State.WaitingWork[Class] = Duration(0);
+    State.WaitingPrefill[Class] = Duration(0);
   }
   return Calls;
 }
@@ -178,13 +200,43 @@
   return State.ReservedTokens + tokensOf(Call) <= State.Limits.MemoryTokens;
 }
 
+bool fitsBacklog(const AdmissionState &State, const QueuedCall &Call) {
+  const Duration Bound = State.Limits.PrefillBacklog[Call.Class];
+  const Duration Pending = State.PendingPrefill;
+  return Pending.count() == 0 ||
+         Pending + expectedPrefill(State, Call) <= Bound;
+}
+
+bool fitsWorkingSet(const AdmissionState &State, const QueuedCall &Call,
+                    TimePoint Now) {
+  const double Bound = State.Limits.WorkingSetShare *
+                       static_cast<double>(State.Limits.MemoryTokens);
+  const auto Needed = static_cast<double>(tokensOf(Call));
+  double Taken = 0;
+  double KeptForOthers = 0;
+  for (CallClass Class : AllClasses) {
+    const double Used = workingSet(State, Class);
+    const double Reserved = State.Limits.ReservedShare[Class] * Bound;
+    Taken += Used;
+    if (Class == Call.Class && Used + Needed <= Reserved)
+      return true;
+    if (Class != Call.Class)
+      KeptForOthers += std::max(0.0, Reserved - Used);
+  }
+  // A program that has the endpoint to itself evicts nobody.
+  if (Taken == 0)
+    return true;
+  return Taken + KeptForOthers + Needed <= Bound &&
+         !hasPrecedenceOver(State, Call.Class, Now);
+}
+
 std::optional<AttemptId> nextCall(const AdmissionState &State, TimePoint Now) {
   const QueuedCall *First = firstBelowReserve(State, Now);
   if (!First)
     First = firstByRank(State, Now);
   // A large call at the head waits for memory and is not passed by smaller
   // ones, which could keep it waiting for ever.
-  if (!First || !fitsMemory(State, *First))
+  if (!First || !fitsMemory(State, *First) || !fitsBacklog(State, *First))
     return std::nullopt;
   return First->Id;
 }
@@ -193,18 +245,32 @@
   std::optional<QueuedCall> Call = dequeue(State, Id);
   if (!Call)
     return;
+  const Duration Prefill = expectedPrefill(State, *Call);
+  const bool Alone = State.PendingPrefill.count() == 0;
   State.ReservedTokens += tokensOf(*Call);
+  State.ReservedTokensOf[Call->Class] += tokensOf(*Call);
+  State.PendingPrefill += Prefill;
   ++State.RunningOf[Call->Class];
-  State.Running.emplace(Id, RunningCall{*Call, Now, false});
+  State.Running.emplace(Id, RunningCall{*Call, Now, false, Prefill, Alone});
+}
+
+bool seeFirstToken(AdmissionState &State, RunningCall &Call) {
+  if (Call.FirstTokenSeen)
+    return false;
+  Call.FirstTokenSeen = true;
+  State.PendingPrefill -= Call.Prefill;
+  return true;
 }
 
 std::optional<RunningCall> endCall(AdmissionState &State, const AttemptId &Id) {
   auto Found = State.Running.find(Id);
   if (Found == State.Running.end())
     return std::nullopt;
+  seeFirstToken(State, Found->second);
   RunningCall Ended = std::move(Found->second);
   State.Running.erase(Found);
   State.ReservedTokens -= tokensOf(Ended.Call);
+  State.ReservedTokensOf[Ended.Call.Class] -= tokensOf(Ended.Call);
   --State.RunningOf[Ended.Call.Class];
   return Ended;
 }
