--- a/packages/gate/bench/Trial.cpp
+++ b/packages/gate/bench/Trial.cpp
@@ -236,7 +236,7 @@
 
   void carry(const AdmissionActions &Actions) {
     for (const AdmissionAction &Each : Actions) {
-      if (const auto *Start = std::get_if<StartCall>(&Each))
+      if (const auto *Start = std::get_if<SendCall>(&Each))
         send(std::stoul(Start->Id.Program.text()));
       if (const auto *Refuse = std::get_if<RefuseCall>(&Each))
         refused(std::stoul(Refuse->Id.Program.text()), Refuse->Failure);
