Test kills, freezes and outages with real processes

Cause: the promises were only tried by hand. Eleven cases start the whole deployment on loopback, kill or freeze owners, endpoint processes and copies, stop them gracefully, take the platform's service away and lose its answers. The plain service's own count of executions is the witness.

Ruled out: ports chosen by the system, since settings name them.

--- /dev/null
+++ b/packages/processes/test/ProcessesTest.cpp
@@ -0,0 +1,274 @@
+/// The promises of the system, with real processes that are killed, frozen and
+/// thawed while they serve.
+#include "Cluster.h"
+
+#include "tamarack/base/Ids.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <future>
+#include <set>
+
+using namespace tamarack;
+
+namespace {
+
+using Answer = Expected<HttpJsonAnswer>;
+
+std::string show(const Answer &Given) {
+  return Given ? std::to_string(Given->Status) + " " + Given->Text
+               : Given.error().Message;
+}
+
+/// The entry that serves the call of \p Key, found by the shard's record.
+std::string ownerOfPayout(Cluster &Deployment, const std::string &Key) {
+  const ProgramId Program(
+      "obrador~service:payouts:" + std::to_string(stableHash(Key)) + ":" +
+      std::to_string(stableHash(Key, 1)));
+  const auto Records = HttpJson(7500).get("/v1/kv/tamarack/shards/andes/" +
+                                          std::to_string(shardOf(Program, 16)));
+  static_cast<void>(Deployment);
+  return Json::parse(Records->Body["value"].get<std::string>())["Owner"];
+}
+
+std::string ownerOfProgram(const std::string &Program) {
+  const auto Record = HttpJson(7500).get(
+      "/v1/kv/tamarack/shards/andes/" +
+      std::to_string(shardOf(ProgramId("obrador~" + Program), 16)));
+  return Json::parse(Record->Body["value"].get<std::string>())["Owner"];
+}
+
+int numberOf(const std::string &Instance) { return Instance.back() - '0'; }
+
+/// An entry other than \p Instance.
+int otherThan(const std::string &Instance) {
+  return numberOf(Instance) % Cluster::Entries + 1;
+}
+
+std::string historyOf(Cluster &Deployment, int Entry,
+                      const std::string &Program) {
+  const auto Report = Deployment.program(Entry, Program);
+  std::string Roles;
+  if (Report && Report->Status == 200)
+    for (const Json &Message : Report->Body["history"])
+      Roles += Message["role"].get<std::string>().front();
+  return Roles;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Processes)
+
+BOOST_AUTO_TEST_SUITE(APayout)
+
+BOOST_AUTO_TEST_CASE(RunsOnceWhenItsOwnerIsKilledWhileItRuns) {
+  Cluster Deployment({std::chrono::milliseconds(1500)});
+  // A first call of the same shard shows which entry will own the second.
+  const std::string Key = "payout-killed";
+  auto First =
+      std::async(std::launch::async, [&] { return Deployment.payout(1, Key); });
+  BOOST_TEST(
+      Cluster::eventually([&] { return Deployment.executions(Key) == 1; }));
+  const std::string Owner = ownerOfPayout(Deployment, Key);
+  Deployment.kill(Owner);
+  First.wait();
+  const Answer Again = Deployment.payout(otherThan(Owner), Key);
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST(Again->Status == 200, show(Again));
+  BOOST_TEST(Deployment.executions(Key) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(RunsOnceWhenItsOwnerIsFrozenAndThawedAfterATakeOver) {
+  Cluster Deployment({std::chrono::milliseconds(1000)});
+  const std::string Key = "payout-frozen";
+  auto First =
+      std::async(std::launch::async, [&] { return Deployment.payout(1, Key); });
+  BOOST_TEST(
+      Cluster::eventually([&] { return Deployment.executions(Key) == 1; }));
+  const std::string Owner = ownerOfPayout(Deployment, Key);
+  Deployment.signal(Owner, SIGSTOP);
+  const Answer Again = Deployment.payout(otherThan(Owner), Key);
+  Deployment.signal(Owner, SIGCONT);
+  const Answer Original = First.get();
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST(Again->Status == 200, show(Again));
+  BOOST_REQUIRE(Original.has_value());
+  BOOST_TEST(Original->Status == 200, show(Original));
+  BOOST_TEST(Original->Text == Again->Text);
+  BOOST_TEST(Deployment.executions(Key) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(RunsOnceWhenItIsSentThroughAllEntriesAtOnce) {
+  Cluster Deployment({std::chrono::milliseconds(300)});
+  std::vector<std::future<Answer>> Sent;
+  for (int Copy = 0; Copy < 9; ++Copy)
+    Sent.push_back(std::async(std::launch::async, [&Deployment, Copy] {
+      return Deployment.payout(Copy % Cluster::Entries + 1, "payout-raced");
+    }));
+  std::set<std::string> Texts;
+  for (auto &Each : Sent) {
+    const Answer Given = Each.get();
+    BOOST_REQUIRE(Given.has_value());
+    BOOST_TEST(Given->Status == 200, show(Given));
+    Texts.insert(Given->Text);
+  }
+  BOOST_TEST(Texts.size() == 1);
+  BOOST_TEST(Deployment.executions("payout-raced") == 1);
+  const Answer Other = Deployment.payout(2, "payout-raced", 999);
+  BOOST_REQUIRE(Other.has_value());
+  BOOST_TEST(Other->Status == 422, show(Other));
+  BOOST_TEST(Other->Body["error"]["not_run"] == true);
+}
+
+BOOST_AUTO_TEST_CASE(IsUnknownForGoodWhenTheSenderBesideTheServiceIsKilled) {
+  Cluster Deployment({std::chrono::milliseconds(1500)});
+  const std::string Key = "payout-sender-killed";
+  auto First =
+      std::async(std::launch::async, [&] { return Deployment.payout(1, Key); });
+  BOOST_TEST(
+      Cluster::eventually([&] { return Deployment.executions(Key) == 1; }));
+  Deployment.kill("beside-payouts");
+  Deployment.startDaemon("beside-payouts");
+  const Answer Original = First.get();
+  BOOST_REQUIRE(Original.has_value());
+  BOOST_TEST(Original->Body["error"]["kind"] == "outcome_unknown",
+             show(Original));
+  BOOST_TEST(Original->Body["error"]["not_run"] == false);
+  const Answer Again = Deployment.payout(2, Key);
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST(Again->Body["error"]["kind"] == "outcome_unknown", show(Again));
+  BOOST_TEST(Deployment.executions(Key) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AProgram)
+
+BOOST_AUTO_TEST_CASE(KeepsItsHistoryWhenItsOwnerIsKilledBetweenTurns) {
+  Cluster Deployment;
+  BOOST_TEST(Deployment.turn(1, "brief-1", 1, "one")->Status == 200);
+  BOOST_TEST(Deployment.turn(2, "brief-1", 2, "two")->Status == 200);
+  const std::string Owner = ownerOfProgram("brief-1");
+  Deployment.kill(Owner);
+  const int Entry = otherThan(Owner);
+  const Answer Third = Deployment.turn(Entry, "brief-1", 3, "three");
+  BOOST_REQUIRE(Third.has_value());
+  BOOST_TEST(Third->Status == 200, show(Third));
+  BOOST_TEST(historyOf(Deployment, Entry, "brief-1") == "uauaua");
+}
+
+BOOST_AUTO_TEST_CASE(GetsItsWholeAnswerWhenItsEndpointProcessIsKilled) {
+  Cluster Deployment({std::chrono::milliseconds(0), 20});
+  const int Before = Deployment.engineRequests(1);
+  auto Turn = std::async(std::launch::async, [&] {
+    return Deployment.turn(1, "brief-2", 1, "one", 60);
+  });
+  const int Served =
+      Cluster::eventually([&] { return Deployment.engineRequests(1) > Before; })
+          ? 1
+          : 2;
+  Deployment.kill("beside-engine-" + std::to_string(Served));
+  const Answer Whole = Turn.get();
+  BOOST_REQUIRE(Whole.has_value());
+  BOOST_TEST(Whole->Status == 200, show(Whole));
+  BOOST_TEST(historyOf(Deployment, 2, "brief-2") == "ua");
+}
+
+BOOST_AUTO_TEST_CASE(GoesOnThroughAnOutageOfThePlatform) {
+  Cluster Deployment;
+  BOOST_TEST(Deployment.turn(1, "brief-3", 1, "one")->Status == 200);
+  Deployment.platformFaults({{"outage", true}});
+  const Answer Second = Deployment.turn(2, "brief-3", 2, "two");
+  BOOST_REQUIRE(Second.has_value());
+  BOOST_TEST(Second->Status == 200, show(Second));
+  Deployment.platformFaults({{"outage", false}});
+  BOOST_TEST(historyOf(Deployment, 3, "brief-3") == "uaua");
+}
+
+BOOST_AUTO_TEST_CASE(BeginsThoughAnswersOfThePlatformAreLost) {
+  Cluster Deployment;
+  Deployment.platformFaults({{"lose_answers", 2}});
+  for (int Program = 0; Program < 6; ++Program) {
+    const Answer First =
+        Deployment.turn(1, "lost-" + std::to_string(Program), 1, "one");
+    BOOST_REQUIRE(First.has_value());
+    BOOST_TEST(First->Status == 200, show(First));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SurvivesTheLossOfACopyWithItsFolder) {
+  Cluster Deployment;
+  BOOST_TEST(Deployment.turn(1, "brief-4", 1, "one")->Status == 200);
+  const std::string Owner = ownerOfProgram("brief-4");
+  const std::string Lost = "entry-" + std::to_string(otherThan(Owner));
+  Deployment.kill(Lost);
+  const Answer Second = Deployment.turn(numberOf(Owner), "brief-4", 2, "two");
+  BOOST_REQUIRE(Second.has_value());
+  const bool RefusedAsNotRun =
+      Second->Status == 503 && Second->Body["error"]["not_run"] == true;
+  BOOST_TEST((Second->Status == 200 || RefusedAsNotRun), show(Second));
+  BOOST_TEST(Cluster::eventually([&] {
+    const Answer Again = Deployment.turn(numberOf(Owner), "brief-4", 2, "two");
+    return Again && Again->Status == 200;
+  }));
+  BOOST_TEST(historyOf(Deployment, numberOf(Owner), "brief-4") == "uaua");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(APlannedStop)
+
+BOOST_AUTO_TEST_CASE(OfAnEndpointProcessCutsNoStreamAndTakesNoNewWork) {
+  Cluster Deployment({std::chrono::milliseconds(0), 20});
+  const int Before[] = {Deployment.engineRequests(1),
+                        Deployment.engineRequests(2)};
+  auto Stream = std::async(std::launch::async, [&] {
+    return Deployment.streamedTurn(1, "brief-5", 1, "one", 100);
+  });
+  BOOST_TEST(Cluster::eventually([&] {
+    return Deployment.engineRequests(1) > Before[0] ||
+           Deployment.engineRequests(2) > Before[1];
+  }));
+  const int Leaving = Deployment.engineRequests(1) > Before[0] ? 1 : 2;
+  const int AtLeaving = Deployment.engineRequests(Leaving);
+  BOOST_TEST(Deployment.stop("beside-engine-" + std::to_string(Leaving)) == 0);
+  const auto Events = Stream.get();
+  BOOST_REQUIRE(Events.has_value());
+  std::string Content;
+  for (const Json &Event : *Events)
+    if (Event.contains("choices"))
+      Content += Event["choices"][0]["delta"].value("content", "");
+  BOOST_TEST(std::count(Content.begin(), Content.end(), ' ') >= 99, Content);
+  for (int Program = 0; Program < 4; ++Program) {
+    const Answer Next =
+        Deployment.turn(2, "next-" + std::to_string(Program), 1, "one");
+    BOOST_REQUIRE(Next.has_value());
+    BOOST_TEST(Next->Status == 200, show(Next));
+  }
+  BOOST_TEST(Deployment.engineRequests(Leaving) == AtLeaving);
+}
+
+BOOST_AUTO_TEST_CASE(OfAnEntryCutsNoRequest) {
+  Cluster Deployment({std::chrono::milliseconds(0), 20});
+  auto Turn = std::async(std::launch::async, [&] {
+    return Deployment.turn(1, "brief-6", 1, "one", 60);
+  });
+  BOOST_TEST(Cluster::eventually([&] {
+    const auto Owners = Deployment.owners();
+    return !Owners.empty() && Deployment.program(2, "brief-6")->Status == 200;
+  }));
+  BOOST_TEST(Deployment.stop("entry-1") == 0);
+  const Answer Whole = Turn.get();
+  BOOST_REQUIRE(Whole.has_value());
+  BOOST_TEST(Whole->Status == 200, show(Whole));
+  BOOST_TEST(Cluster::eventually([&] {
+    const Answer Second = Deployment.turn(2, "brief-6", 2, "two");
+    return Second && Second->Status == 200;
+  }));
+  BOOST_TEST(historyOf(Deployment, 3, "brief-6") == "uaua");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
