--- a/packages/entry/src/Owner.cpp
+++ b/packages/entry/src/Owner.cpp
@@ -42,16 +42,14 @@
                   std::function<std::string()> Fresh,
                   std::function<std::uint64_t()> Draw)
     : Shards(Shards), Endpoints(Endpoints), Peers(Peers), Time(Time),
-      Settings(Settings), Fresh(std::move(Fresh)),
-      Draw(std::move(Draw)) {}
+      Settings(Settings), Fresh(std::move(Fresh)), Draw(std::move(Draw)) {}
 
 Owner::Owner(ShardTable &Shards, EndpointAccess &Endpoints, Directory &Peers,
              const Clock &Time, OwnerSettings Settings,
              std::function<std::string()> Fresh,
              std::function<std::uint64_t()> Draw)
-    : State(std::make_unique<Impl>(Shards, Endpoints, Peers, Time,
-                                   Settings, std::move(Fresh),
-                                   std::move(Draw))) {}
+    : State(std::make_unique<Impl>(Shards, Endpoints, Peers, Time, Settings,
+                                   std::move(Fresh), std::move(Draw))) {}
 
 Owner::~Owner() = default;
 
