Add the operators' interface, the document in force, and metrics

Cause: defaults were constants and nothing could be seen from outside. A keeper runs the revision decisions of the config package, heartbeats name the revision in force and peers pull it. The operators' port shows status, changes and history, exceptions, programs, drain and why a call went where it did; /metrics has a counter for each refusal kind.

Ruled out: a long-poll watch of the platform by every process, which its budget of reads would not carry; a few watchers read every two seconds. CallClass stood in two packages and moved to base.

--- a/packages/config/include/tamarack/config/OperatorSettings.h
+++ b/packages/config/include/tamarack/config/OperatorSettings.h
@@ -7,6 +7,7 @@
 #ifndef TAMARACK_CONFIG_OPERATORSETTINGS_H
 #define TAMARACK_CONFIG_OPERATORSETTINGS_H
 
+#include "tamarack/base/CallClass.h"
 #include "tamarack/base/Json.h"
 
 #include <optional>
@@ -37,9 +38,6 @@
   SlowLinkBytesPerSecond,
 };
 
-/// The order in which calls are served under load.
-enum class CallClass { High, Normal, Low };
-
 /// How an endpoint process decides what stays in an engine's cache.
 enum class CacheRetentionPolicy {
   KeepNothing,
@@ -80,13 +78,10 @@
 
 Json jsonOf(const SettingValue &Value);
 
-const char *nameOf(CallClass Class);
-std::optional<CallClass> callClassOf(const std::string &Name);
 const char *nameOf(CacheRetentionPolicy Policy);
 std::optional<CacheRetentionPolicy>
 cacheRetentionPolicyOf(const std::string &Name);
 
-std::ostream &operator<<(std::ostream &Out, CallClass Class);
 std::ostream &operator<<(std::ostream &Out, CacheRetentionPolicy Policy);
 
 } // namespace tamarack
--- a/packages/config/src/OperatorSettings.cpp
+++ b/packages/config/src/OperatorSettings.cpp
@@ -171,14 +171,6 @@
   return std::visit([](const auto &Held) { return Json(Held); }, Value);
 }
 
-const char *nameOf(CallClass Class) {
-  return ClassNames.at(static_cast<std::size_t>(Class));
-}
-
-std::optional<CallClass> callClassOf(const std::string &Name) {
-  return valueOf<CallClass>(ClassNames, Name);
-}
-
 const char *nameOf(CacheRetentionPolicy Policy) {
   return PolicyNames.at(static_cast<std::size_t>(Policy));
 }
@@ -188,10 +180,6 @@
   return valueOf<CacheRetentionPolicy>(PolicyNames, Name);
 }
 
-std::ostream &operator<<(std::ostream &Out, CallClass Class) {
-  return Out << nameOf(Class);
-}
-
 std::ostream &operator<<(std::ostream &Out, CacheRetentionPolicy Policy) {
   return Out << nameOf(Policy);
 }
--- a/packages/daemon/src/CallersHttp.cpp
+++ b/packages/daemon/src/CallersHttp.cpp
@@ -49,21 +49,22 @@
   return std::optional<std::uint64_t>(std::stoull(Text));
 }
 
-Expected<CallClass> classIn(const std::string &Text) {
+Expected<CallClass> classIn(const std::string &Text, CallClass Otherwise) {
   if (Text.empty())
-    return CallClass::Normal;
-  const auto Class = Json(Text).get<CallClass>();
-  if (Json(Class) != Json(Text))
-    return malformed("Tamarack-Class must be high, normal or low");
-  return Class;
+    return Otherwise;
+  if (const auto Class = callClassOf(Text))
+    return *Class;
+  return malformed("Tamarack-Class must be high, normal or low");
 }
 
 } // namespace
 
 CallersHttp::CallersHttp(CallersSettings Settings, Router &Requests,
-                         Peers &Network, std::function<std::string()> Fresh)
+                         Peers &Network, const ConfigKeeper &Config,
+                         Metrics &Measured, const Clock &Time,
+                         std::function<std::string()> Fresh)
     : Settings(std::move(Settings)), Requests(Requests), Network(Network),
-      Fresh(std::move(Fresh)) {}
+      Config(Config), Measured(Measured), Time(Time), Fresh(std::move(Fresh)) {}
 
 Expected<void> CallersHttp::start() {
   auto Started =
@@ -85,11 +86,25 @@
 
 Expected<CustomerId>
 CallersHttp::customerOf(const Poco::Net::HTTPServerRequest &Request) const {
-  const auto Known = Settings.Keys.find(bearerKey(Request));
-  if (Known == Settings.Keys.end())
-    return refuse(ErrorKind::Unauthorized, "the caller's key is not known",
-                  NotRun::Proved);
-  return Known->second;
+  if (const auto Known =
+          tamarack::customerOf(Settings.Keys, bearerKey(Request)))
+    return *Known;
+  return refuse(ErrorKind::Unauthorized, "the caller's key is not known",
+                NotRun::Proved);
+}
+
+void CallersHttp::refuseHere(Poco::Net::HTTPServerResponse &Response,
+                             const Error &Why) {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    ++Refused[Why.Kind];
+  }
+  sendError(Response, Why);
+}
+
+std::map<ErrorKind, std::uint64_t> CallersHttp::refused() const {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  return Refused;
 }
 
 void CallersHttp::serve(Poco::Net::HTTPServerRequest &Request,
@@ -99,8 +114,10 @@
   if (Network.isLeaving())
     Response.setKeepAlive(false);
   const auto Customer = customerOf(Request);
-  if (!Customer)
-    return sendError(Response, Customer.error());
+  if (!Customer) {
+    ++WrongKeys;
+    return refuseHere(Response, Customer.error());
+  }
   if (Network.isLeaving() && Method == "POST")
     return sendError(
         Response,
@@ -114,27 +131,39 @@
       Path.rfind(ProgramsPrefix, 0) == 0)
     return program(*Customer, Path.substr(std::string(ProgramsPrefix).size()),
                    Request, Response);
-  sendError(Response, {ErrorKind::MalformedRequest,
-                       "no such path: " + Method + " " + Path,
-                       NotRun::Proved,
-                       {}});
+  refuseHere(Response, {ErrorKind::MalformedRequest,
+                        "no such path: " + Method + " " + Path,
+                        NotRun::Proved,
+                        {}});
 }
 
 Expected<CallOrder>
 CallersHttp::orderOf(const CustomerId &Customer,
-                     const Poco::Net::HTTPServerRequest &Request) {
+                     const Poco::Net::HTTPServerRequest &Request,
+                     const std::string &Target, CallKind Kind) {
   CallOrder Order;
+  Order.Kind = Kind;
+  Order.Target = Target;
   Order.Customer = Customer;
   Order.Workspace = WorkspaceId(Request.get("Tamarack-Workspace", ""));
   Order.IdempotencyKey = Request.get("Idempotency-Key", "");
-  Order.Budget = Settings.DefaultBudget;
-  Order.Bounds = Settings.DefaultLimits;
-  Order.Remaining = Settings.DefaultDeadline;
+  Scope Asked;
+  Asked.Customer = Customer;
+  Asked.Workspace = Order.Workspace;
+  if (Kind == CallKind::Chat)
+    Asked.Model = ModelId(Target);
+  else
+    Asked.Service = ServiceId(Target);
+  const EffectiveDefaults Rules = Config.rulesFor(Asked);
+  Order.Budget = Rules.BudgetTokens;
+  Order.Bounds = {Rules.MaxTurns, Rules.MaxWallTime};
+  Order.Remaining =
+      Kind == CallKind::Chat ? Rules.CallDeadline : Rules.ToolTimeout;
   const auto Deadline =
       numberIn(Request.get("Tamarack-Deadline-Ms", ""), "Tamarack-Deadline-Ms");
   const auto Sequence =
       numberIn(Request.get("Tamarack-Sequence", ""), "Tamarack-Sequence");
-  const auto Class = classIn(Request.get("Tamarack-Class", ""));
+  const auto Class = classIn(Request.get("Tamarack-Class", ""), Rules.Class);
   const auto Budget =
       numberIn(Request.get("Tamarack-Budget", ""), "Tamarack-Budget");
   for (const auto *Number : {&Deadline, &Sequence, &Budget})
@@ -143,11 +172,13 @@
   if (!Class)
     return tl::make_unexpected(Class.error());
   if (*Deadline)
-    Order.Remaining = std::chrono::milliseconds(**Deadline);
+    Order.Remaining = std::min<Duration>(Order.Remaining,
+                                         std::chrono::milliseconds(**Deadline));
   if (*Budget)
-    Order.Budget = std::min<TokenCount>(**Budget, Settings.DefaultBudget);
+    Order.Budget = std::min<TokenCount>(**Budget, Rules.BudgetTokens);
   Order.Sequence = *Sequence;
-  Order.Class = *Class;
+  // A caller may lower its class, not raise it above what operators allow.
+  Order.Class = std::max(*Class, Rules.Class);
   return Order;
 }
 
@@ -163,32 +194,33 @@
 void CallersHttp::chat(const CustomerId &Customer,
                        Poco::Net::HTTPServerRequest &Request,
                        Poco::Net::HTTPServerResponse &Response) {
-  auto Order = orderOf(Customer, Request);
+  const TimePoint Started = Time.now();
   auto Body = readBody(Request, Settings.MaxBodyBytes);
   if (!Body)
     Response.setKeepAlive(false);
   if (!Body)
-    return sendError(Response, Body.error());
-  if (!Order)
-    return sendError(Response, Order.error());
+    return refuseHere(Response, Body.error());
   const Json Parsed = Json::parse(*Body, nullptr, false);
   if (!Parsed.is_object())
-    return sendError(Response, malformed("the body is no JSON object").value());
+    return refuseHere(Response,
+                      malformed("the body is no JSON object").value());
   if (!Parsed.contains("model") || !Parsed["model"].is_string())
-    return sendError(Response, malformed("model must be a text").value());
-  Order->Kind = CallKind::Chat;
-  Order->Target = Parsed["model"].get<std::string>();
+    return refuseHere(Response, malformed("model must be a text").value());
+  auto Order = orderOf(Customer, Request, Parsed["model"].get<std::string>(),
+                       CallKind::Chat);
+  if (!Order)
+    return refuseHere(Response, Order.error());
   Order->Body = std::move(*Body);
   if (!isServed(Order->Target))
-    return sendError(Response, {ErrorKind::UnknownModel,
-                                "no endpoint serves " + Order->Target,
-                                NotRun::Proved,
-                                {}});
+    return refuseHere(Response, {ErrorKind::UnknownModel,
+                                 "no endpoint serves " + Order->Target,
+                                 NotRun::Proved,
+                                 {}});
   const std::string Given = Request.get("Tamarack-Program", "");
   if (!Given.empty() && !isPlainId(Given))
-    return sendError(Response, malformed("Tamarack-Program holds letters, "
-                                         "digits and -_.:/ only")
-                                   .value());
+    return refuseHere(Response, malformed("Tamarack-Program holds letters, "
+                                          "digits and -_.:/ only")
+                                    .value());
   const std::string Id =
       Given.empty() ? Settings.Region.text() + ":" + Fresh() : Given;
   Order->Program = internalId(Customer, Id);
@@ -200,14 +232,19 @@
   StreamRelay Relay(Response);
   const bool Streams = Parsed.value("stream", false);
   Relay.setHeader("Tamarack-Program", Id);
-  const auto Reply =
-      Requests.call(*Order, [&Relay, Streams](const CallPart &Part) {
-        if (Streams)
-          Relay.part(Part);
-      });
+  std::optional<TimePoint> LastPart;
+  const auto Reply = Requests.call(*Order, [&](const CallPart &Part) {
+    const TimePoint Now = Time.now();
+    Measured.observe(LastPart ? Timing::TokenInterval : Timing::FirstToken,
+                     Now - LastPart.value_or(Started));
+    LastPart = Now;
+    if (Streams)
+      Relay.part(Part);
+  });
   if (!Reply)
     return Relay.isOpen() ? Relay.fail(Reply.error())
                           : sendError(Response, Reply.error());
+  Measured.observe(Timing::Call, Time.now() - Started);
   Relay.setHeader("Tamarack-Sequence", std::to_string(Reply->Sequence));
   Relay.setHeader("Tamarack-Endpoint", Reply->ServedBy.text());
   Relay.setHeader("Tamarack-Stored", Reply->Stored ? "true" : "false");
@@ -219,34 +256,34 @@
 void CallersHttp::service(const CustomerId &Customer, const std::string &Path,
                           Poco::Net::HTTPServerRequest &Request,
                           Poco::Net::HTTPServerResponse &Response) {
-  auto Order = orderOf(Customer, Request);
   auto Body = readBody(Request, Settings.MaxBodyBytes);
   if (!Body)
     Response.setKeepAlive(false);
   if (!Body)
-    return sendError(Response, Body.error());
-  if (!Order)
-    return sendError(Response, Order.error());
+    return refuseHere(Response, Body.error());
   const auto Slash = Path.find('/');
-  Order->Kind = CallKind::Service;
-  Order->Target = Path.substr(0, Slash);
+  auto Order =
+      orderOf(Customer, Request, Path.substr(0, Slash), CallKind::Service);
+  if (!Order)
+    return refuseHere(Response, Order.error());
   Order->Path = Slash == std::string::npos ? "" : Path.substr(Slash + 1);
   Order->Body = Body->empty() ? "{}" : std::move(*Body);
   Order->Repeatable = false;
   if (!isServed(Order->Target))
-    return sendError(Response, {ErrorKind::UnknownService,
-                                "no endpoint serves " + Order->Target,
-                                NotRun::Proved,
-                                {}});
+    return refuseHere(Response, {ErrorKind::UnknownService,
+                                 "no endpoint serves " + Order->Target,
+                                 NotRun::Proved,
+                                 {}});
   if (Order->IdempotencyKey.empty())
-    return sendError(Response, {ErrorKind::KeyRequired,
-                                "calls of this service need an Idempotency-Key",
-                                NotRun::Proved,
-                                {}});
+    return refuseHere(Response,
+                      {ErrorKind::KeyRequired,
+                       "calls of this service need an Idempotency-Key",
+                       NotRun::Proved,
+                       {}});
   if (!isPlainId(Order->IdempotencyKey))
-    return sendError(Response, malformed("Idempotency-Key holds letters, "
-                                         "digits and -_.:/ only")
-                                   .value());
+    return refuseHere(Response, malformed("Idempotency-Key holds letters, "
+                                          "digits and -_.:/ only")
+                                    .value());
   // A call of a service is a program of one call under its key.
   Order->Program = internalId(
       Customer, "service:" + Order->Target + ":" +
@@ -266,7 +303,7 @@
                           Poco::Net::HTTPServerRequest &Request,
                           Poco::Net::HTTPServerResponse &Response) {
   if (!isPlainId(Id))
-    return sendError(Response, malformed("no such program id").value());
+    return refuseHere(Response, malformed("no such program id").value());
   const bool End = Request.getMethod() == "DELETE";
   const auto Report =
       Requests.program({internalId(Customer, Id), Customer, End, 0});
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -2,12 +2,15 @@
 
 #include "CallersHttp.h"
 #include "EndpointGate.h"
+#include "OperatorsHttp.h"
 #include "Supervisor.h"
 #include "tamarack/config/Keys.h"
 
+#include <csignal>
 #include <random>
 #include <spdlog/spdlog.h>
 #include <thread>
+#include <unistd.h>
 
 namespace tamarack {
 namespace {
@@ -133,10 +136,16 @@
                     Given,
                     memberOf(Given, Life, Store ? Store->folder() : FolderId()),
                     PeerSecret),
-                Service, Source) {}
+                Service, Source),
+        Config(Network, Service, Source, Given.DataFolder,
+               [this] { return Random.fresh(); }),
+        Measured([this] { return counters(); }) {}
 
   void buildEntry();
   void buildEndpoint();
+  void buildOperators(const Key &Secret);
+  void addParts();
+  std::vector<CounterValue> counters() const;
   Expected<void> start();
   void stop();
 
@@ -148,6 +157,8 @@
   const Incarnation Life;
   Platform Service;
   Peers Network;
+  ConfigKeeper Config;
+  Metrics Measured;
 
   std::unique_ptr<PlatformShardRecords> Records;
   std::unique_ptr<ShardTable> Shards;
@@ -155,6 +166,7 @@
   std::unique_ptr<Router> Requests;
   std::unique_ptr<CallersHttp> CallersPort;
   std::unique_ptr<EndpointGate> Gate;
+  std::unique_ptr<OperatorsHttp> OperatorsPort;
   Supervisor Root{"root"};
 };
 
@@ -173,10 +185,10 @@
   Port.Host = Own.Host;
   Port.Port = Own.CallerPort;
   Port.Region = Own.Region;
-  for (const CallerKeys::Row &Row : Callers.Rows)
-    Port.Keys[Row.Secret.secret()] = Row.Customer;
-  CallersPort = std::make_unique<CallersHttp>(
-      Port, *Requests, Network, [this] { return Random.fresh(); });
+  Port.Keys = Callers;
+  CallersPort =
+      std::make_unique<CallersHttp>(Port, *Requests, Network, Config, Measured,
+                                    Time, [this] { return Random.fresh(); });
 
   LinkServer &Server = Network.server();
   Server.handleStream<CallOrder>(
@@ -208,20 +220,105 @@
   });
 }
 
-Expected<void> Daemon::Impl::start() {
-  if (Store)
-    serveCopies(Network.server(), *Store);
-  if (Own.Role == ProcessRole::Entry)
-    buildEntry();
-  else
-    buildEndpoint();
+void Daemon::Impl::buildOperators(const Key &Secret) {
+  OperatedParts Parts{Network,        Config,
+                      Measured,       Service,
+                      Requests.get(), Programs.get(),
+                      Shards.get(),   [] { ::kill(::getpid(), SIGTERM); }};
+  OperatorsPort = std::make_unique<OperatorsHttp>(Own.Host, Own.OperatorPort,
+                                                  Secret, Parts);
+}
+
+std::vector<CounterValue> Daemon::Impl::counters() const {
+  std::vector<CounterValue> Values;
+  const auto Add = [&Values](Counter Which, std::uint64_t Value,
+                             std::string Label = "") {
+    Values.push_back({Which, std::move(Label), static_cast<double>(Value)});
+  };
+  const PlatformCounts &Platform = Service.counts();
+  Add(Counter::PlatformReads, Platform.Reads);
+  Add(Counter::PlatformWrites, Platform.Writes);
+  Add(Counter::PlatformFailures, Platform.Failures);
+  Add(Counter::AnswersReadBack, Platform.AnswersReadBack);
+  if (OperatorsPort)
+    Add(Counter::WrongKeys, OperatorsPort->wrongKeys(), "operators");
+  if (Gate) {
+    const GateCounts Gated = Gate->counts();
+    Add(Counter::PromptTokens, Gated.PromptTokens);
+    Add(Counter::CachedTokens, Gated.CachedTokens);
+    Add(Counter::AttemptsVoided, Gated.Voided);
+    Add(Counter::CacheReleased, Gated.CacheReleased);
+    return Values;
+  }
+  const OwnerCounts Owned = Programs->counts();
+  std::map<ErrorKind, std::uint64_t> Refused = Owned.Refused;
+  for (const auto &[Kind, Count] : CallersPort->refused())
+    Refused[Kind] += Count;
+  for (const ErrorAnswer &Row : errorTable())
+    Add(Counter::Refused, Refused[Row.Kind], Row.Name);
+  Add(Counter::CallsStarted, Owned.Started);
+  Add(Counter::CallsJoined, Owned.Joined);
+  Add(Counter::AnswersRepeated, Owned.Stored);
+  Add(Counter::AttemptsAsked, Owned.Asked);
+  Add(Counter::OutcomesUnknown, Owned.OutcomesUnknown);
+  Add(Counter::PromptTokens, Owned.PromptTokens);
+  Add(Counter::CachedTokens, Owned.CachedTokens);
+  Add(Counter::PrefilledAgain, Owned.PrefilledAgain);
+  Add(Counter::WrongKeys, CallersPort->wrongKeys(), "callers");
+  const ShardCounts Claimed = Shards->counts();
+  Add(Counter::ShardClaims, Claimed.Claims);
+  Add(Counter::ShardClaimsLost, Claimed.ClaimsLost);
+  Add(Counter::CopiesReplaced, Claimed.CopiesReplaced);
+  Add(Counter::AppendsFailed, Claimed.AppendsFailed);
+  return Values;
+}
+
+void Daemon::Impl::addParts() {
   Root.add(
       {"peers",
        [this] { return Network.start(Store.get()).map([](std::uint16_t) {}); },
        [this] { Network.stop(); }});
+  Root.add({"config",
+            [this] {
+              Config.start();
+              return Expected<void>();
+            },
+            [this] { Config.stop(); }});
   if (CallersPort)
     Root.add({"callers", [this] { return CallersPort->start(); },
               [this] { CallersPort->stop(); }});
+  if (OperatorsPort)
+    Root.add({"operators", [this] { return OperatorsPort->start(); },
+              [this] { OperatorsPort->stop(); }});
+}
+
+Expected<void> Daemon::Impl::start() {
+  if (Store)
+    serveCopies(Network.server(), *Store);
+  if (Own.Role == ProcessRole::Entry)
+    buildEntry();
+  else
+    buildEndpoint();
+  Network.setStateSource([this](PeerState &Told) {
+    Told.ConfigRevision = Config.inForce();
+    Told.ConfigConfirmed = Config.isConfirmed();
+    Told.Shards = Shards ? Shards->owned().size() : 0;
+  });
+  Network.server().handle<DrainOrder>(
+      [this](const DrainOrder &Order) -> Expected<Ack> {
+        if (Order.Instance != Own.Instance)
+          return refuse(ErrorKind::MalformedRequest,
+                        "another instance is meant", NotRun::Proved);
+        ::kill(::getpid(), SIGTERM);
+        return Ack{};
+      });
+  if (Own.OperatorPort != 0) {
+    const auto Secret = loadKey(Own.OperatorKeyFile);
+    if (!Secret)
+      return tl::make_unexpected(Secret.error());
+    buildOperators(*Secret);
+  }
+  addParts();
   return Root.start();
 }
 
--- a/packages/daemon/src/Peers.cpp
+++ b/packages/daemon/src/Peers.cpp
@@ -56,6 +56,21 @@
   LoadSource = std::move(Source);
 }
 
+void Peers::setStateSource(std::function<void(PeerState &)> Source) {
+  StateSource = std::move(Source);
+}
+
+void Peers::setStateListener(std::function<void(const PeerState &)> Listener) {
+  StateListener = std::move(Listener);
+}
+
+std::optional<PeerState> Peers::lastState(const InstanceId &Instance) const {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  const auto Found = LastStates.find(Instance);
+  return Found == LastStates.end() ? std::nullopt
+                                   : std::optional(Found->second);
+}
+
 void Peers::setLeaving() {
   std::lock_guard<std::mutex> Lock(Mutex);
   Leaving = true;
@@ -80,6 +95,8 @@
     Own.Introduction = self();
   if (Source)
     Own.Load = Source();
+  if (StateSource)
+    StateSource(Own);
   return Own;
 }
 
@@ -91,8 +108,11 @@
     spdlog::warn("peers: a heartbeat has another shape");
     return;
   }
+  if (StateListener)
+    StateListener(Heard);
   const TimePoint Now = Time.now();
   std::lock_guard<std::mutex> Lock(Mutex);
+  LastStates[Heard.Instance] = Heard;
   if (Heard.Introduction)
     Table = onIntroduction(std::move(Table), *Heard.Introduction, Now);
   Table = onHeartbeat(std::move(Table), Heard.Instance, Heard.Life, Now);
--- a/packages/daemon/src/Peers.h
+++ b/packages/daemon/src/Peers.h
@@ -39,6 +39,12 @@
   /// Register handlers here before start().
   LinkServer &server() { return Server; }
   void setLoadSource(std::function<EndpointLoad()> Source);
+  /// Adds to every heartbeat what \p Source sets. Before start().
+  void setStateSource(std::function<void(PeerState &)> Source);
+  /// Hears every heartbeat; must not block. Before start().
+  void setStateListener(std::function<void(const PeerState &)> Listener);
+  /// What the last heartbeat of \p Instance said; nothing before the first.
+  std::optional<PeerState> lastState(const InstanceId &Instance) const;
   void setLeaving();
   bool isLeaving() const;
 
@@ -97,6 +103,9 @@
   std::map<InstanceId, std::pair<LinkAddress, std::shared_ptr<LinkClient>>>
       Links;
   std::function<EndpointLoad()> LoadSource;
+  std::function<void(PeerState &)> StateSource;
+  std::function<void(const PeerState &)> StateListener;
+  std::map<InstanceId, PeerState> LastStates;
   bool Leaving = false;
   bool Stopping = false;
   std::condition_variable Wake;
--- a/packages/daemon/src/Platform.cpp
+++ b/packages/daemon/src/Platform.cpp
@@ -25,7 +25,8 @@
 
 Expected<HttpAnswer> Platform::call(const HttpRequest &Request) {
   auto Answer = httpCall(At, Request, Limit);
-  if (Answer && Answer->Status < 500)
+  Up = Answer && Answer->Status < 500;
+  if (Up)
     return Answer;
   ++Counts.Failures;
   if (!Answer)
--- a/packages/daemon/src/Platform.h
+++ b/packages/daemon/src/Platform.h
@@ -39,6 +39,8 @@
   Expected<std::vector<Member>> instances();
 
   const PlatformCounts &counts() const { return Counts; }
+  /// Whether the last call was answered.
+  bool isUp() const { return Up; }
 
 private:
   Expected<HttpAnswer> call(const HttpRequest &Request);
@@ -46,6 +48,7 @@
   const Address At;
   const Duration Limit;
   PlatformCounts Counts;
+  std::atomic<bool> Up{true};
 };
 
 /// The shard records under the region's prefix.
--- a/packages/entry/include/tamarack/entry/Messages.h
+++ b/packages/entry/include/tamarack/entry/Messages.h
@@ -264,18 +264,49 @@
   NLOHMANN_DEFINE_TYPE_INTRUSIVE(ReleaseOrder, Programs)
 };
 
+/// A process's document in force.
+struct ConfigOffer {
+  Json Document;
+  bool Confirmed = false;
+
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(ConfigOffer, Document, Confirmed)
+};
+
+/// Asks a peer for the operators' document that is in force there.
+struct PullOrder {
+  static constexpr const char *Name = "pull-config";
+  using Reply = ConfigOffer;
+};
+inline void to_json(Json &Value, const PullOrder &) { Value = Json::object(); }
+inline void from_json(const Json &, PullOrder &) {}
+
+/// Asks an instance to stop as a planned stop would, or passes that on.
+struct DrainOrder {
+  static constexpr const char *Name = "drain";
+  using Reply = Ack;
+
+  InstanceId Instance;
+
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(DrainOrder, Instance)
+};
+
 /// What both ends of a link tell with each heartbeat.
 struct PeerState {
   InstanceId Instance;
   Incarnation Life = 0;
   bool Leaving = false;
+  /// The configuration in force, and whether it is confirmed by the service.
   std::uint64_t ConfigRevision = 0;
+  bool ConfigConfirmed = false;
+  /// Shards owned by an entry.
+  std::uint64_t Shards = 0;
   std::optional<EndpointLoad> Load;
   /// Sent with the first heartbeat of a connection only.
   std::optional<Member> Introduction;
 
   NLOHMANN_DEFINE_TYPE_INTRUSIVE(PeerState, Instance, Life, Leaving,
-                                 ConfigRevision, Load, Introduction)
+                                 ConfigRevision, ConfigConfirmed, Shards, Load,
+                                 Introduction)
 };
 
 } // namespace tamarack
--- a/packages/entry/include/tamarack/entry/Owner.h
+++ b/packages/entry/include/tamarack/entry/Owner.h
@@ -40,12 +40,39 @@
   std::uint64_t Asked = 0;
   std::uint64_t Retried = 0;
   std::uint64_t OutcomesUnknown = 0;
+  TokenCount PromptTokens = 0;
+  TokenCount CachedTokens = 0;
+  /// Tokens of a history that the endpoint had to prefill again.
+  TokenCount PrefilledAgain = 0;
   std::map<ErrorKind, std::uint64_t> Refused;
 };
 
-/// The outcome of locating a program: the answer, or the entry to ask.
-struct OwnerElsewhere {
-  InstanceId Instance;
+struct TracedCandidate {
+  EndpointId Endpoint;
+  Duration Wait{0};
+  Duration Cost{0};
+  TokenCount Cached = 0;
+  bool Chosen = false;
+  std::string Reason;
+};
+
+struct TracedAttempt {
+  std::uint32_t Number = 0;
+  EndpointId Endpoint;
+  /// "answered" or the name of the error kind.
+  std::string Outcome;
+};
+
+/// Why a call went where it did, or was refused. The last ones are kept.
+struct CallTrace {
+  CallId Call;
+  ProgramId Program;
+  CustomerId Customer;
+  CallClass Class = CallClass::Normal;
+  std::string Reason;
+  std::optional<Error> Refusal;
+  std::vector<TracedCandidate> Candidates;
+  std::vector<TracedAttempt> Attempts;
 };
 
 class Owner {
@@ -66,6 +93,10 @@
   Expected<ProgramReport> program(const ProgramOrder &Order);
 
   OwnerCounts counts() const;
+  /// The trace of \p Call, or of the last call of \p Program when there is no
+  /// such call; nothing when neither is remembered.
+  std::optional<CallTrace> trace(const CallId &Call,
+                                 const ProgramId &Program) const;
 
 private:
   struct Impl;
--- a/packages/entry/src/Owner.cpp
+++ b/packages/entry/src/Owner.cpp
@@ -10,6 +10,9 @@
 /// Longest uninterrupted wait for another call of the program.
 constexpr Duration WaitStep = std::chrono::milliseconds(200);
 
+/// Traces that are kept for explain.
+constexpr std::size_t MaxTraces = 2000;
+
 /// How an ended program is named in reports.
 std::string reasonOf(const std::optional<EndReason> &End) {
   return End ? Json(*End).get<std::string>() : std::string();
@@ -113,9 +116,24 @@
 
 Expected<CallReply> Owner::call(const CallOrder &Order,
                                 const PartSink &OnPart) {
-  Impl &Self = *State;
+  CallTrace Trace;
+  Trace.Program = Order.Program;
+  Trace.Customer = Order.Customer;
+  Trace.Class = Order.Class;
+  auto Reply = State->serveCall(Order, OnPart, Trace);
+  if (!Reply)
+    Trace.Refusal = Reply.error();
+  State->remember(std::move(Trace));
+  return Reply;
+}
+
+Expected<CallReply> Owner::Impl::serveCall(const CallOrder &Order,
+                                           const PartSink &OnPart,
+                                           CallTrace &Trace) {
+  Impl &Self = *this;
   const TimePoint Deadline = Self.Time.now() + Order.Remaining;
   const CallId Call(Self.Fresh());
+  Trace.Call = Call;
   const auto Asked = internal::requestOf(Order, Call, Self.nowMs());
   if (!Asked)
     return Self.refused(Asked.error());
@@ -157,7 +175,7 @@
       const bool MayTry = Tried.size() < Self.Settings.MaxAttempts;
       auto Reply = Self.start(
           *Where, Lock, Order, Request, *Start,
-          Tried.empty() ? OnPart : [](const CallPart &) {}, Tried, Deadline);
+          Tried.empty() ? OnPart : [](const CallPart &) {}, Tried, Trace, Deadline);
       if (Reply || !MayTry || !Order.Repeatable ||
           Tried.size() >= Self.Settings.MaxAttempts ||
           Self.Time.now() >= Deadline)
@@ -235,6 +253,24 @@
   }
 }
 
+void Owner::Impl::remember(CallTrace Trace) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  Traces.push_back(std::move(Trace));
+  if (Traces.size() > MaxTraces)
+    Traces.pop_front();
+}
+
+std::optional<CallTrace> Owner::trace(const CallId &Call,
+                                      const ProgramId &Program) const {
+  std::lock_guard<std::mutex> Lock(State->Mutex);
+  const auto &Traces = State->Traces;
+  for (const bool ByCall : {true, false})
+    for (auto Trace = Traces.rbegin(); Trace != Traces.rend(); ++Trace)
+      if (ByCall ? Trace->Call == Call : Trace->Program == Program)
+        return *Trace;
+  return std::nullopt;
+}
+
 OwnerCounts Owner::counts() const {
   std::lock_guard<std::mutex> Lock(State->Mutex);
   return State->Counts;
--- a/packages/entry/src/OwnerAttempt.cpp
+++ b/packages/entry/src/OwnerAttempt.cpp
@@ -41,7 +41,7 @@
 Expected<OpenAttempt>
 Owner::Impl::openAttempt(const ServedFamily &Where, const CallOrder &Order,
                          const CallRequest &Request, const StartCall &Start,
-                         const std::vector<EndpointId> &Tried) {
+                         const std::vector<EndpointId> &Tried, CallTrace &Trace) {
   const Family &Now = Where.Held->State;
   const Member Own = Peers.self();
   CallNeeds Needs;
@@ -62,8 +62,19 @@
   }
   const auto Views = Endpoints.views(Order.Target);
   const auto Chosen = chooseEndpoint(Views, Needs, Settings.Costs, Draw());
+  Trace.Candidates.clear();
+  for (const EndpointView &Seen : Views)
+    Trace.Candidates.push_back(
+        {Seen.Endpoint, Seen.ExpectedWait + Seen.OwnSentSince,
+         costAt(Seen, Needs, Settings.Costs),
+         Needs.CachedAt.count(Seen.Endpoint) != 0
+             ? Needs.CachedAt.at(Seen.Endpoint)
+             : 0,
+         Chosen && Chosen->Endpoint == Seen.Endpoint,
+         Seen.Ejected ? "ejected" : nameOf(Seen.State)});
   if (!Chosen)
     return tl::make_unexpected(Chosen.error());
+  Trace.Reason = Chosen->Reason;
   const auto View = std::find_if(Views.begin(), Views.end(),
                                  [&Chosen](const EndpointView &Seen) {
                                    return Seen.Endpoint == Chosen->Endpoint;
@@ -103,13 +114,17 @@
 Owner::Impl::start(const ServedFamily &Where, FamilyLock &Lock,
                    const CallOrder &Order, const CallRequest &Request,
                    const StartCall &Start, const PartSink &OnPart,
-                   std::vector<EndpointId> &Tried, TimePoint Deadline) {
-  const auto Opened = openAttempt(Where, Order, Request, Start, Tried);
+                   std::vector<EndpointId> &Tried, CallTrace &Trace,
+                   TimePoint Deadline) {
+  const auto Opened =
+      openAttempt(Where, Order, Request, Start, Tried, Trace);
   if (!Opened)
     return refused(Opened.error());
   Tried.push_back(Opened->Sent.Endpoint);
   const Family &Now = Where.Held->State;
   const ProgramState &Program = Now.Programs.at(Order.Program);
+  const TokenCount HistoryBefore =
+      internal::historyTokens(Now, Order.Program);
   ExecuteOrder Execute;
   Execute.Id = Opened->Id;
   Execute.Target = Opened->Sent.EndpointIncarnation;
@@ -139,7 +154,23 @@
   if (!Settled)
     return refused(Settled.error());
   auto Reply = internal::replyOf(Done);
-  return Reply ? Reply : refused(Reply.error());
+  Trace.Call = Opened->Id.Call;
+  Trace.Attempts.push_back({Opened->Id.Attempt, Opened->Sent.Endpoint,
+                            Reply ? "answered"
+                                  : answerOf(Reply.error().Kind).Name});
+  if (!Reply)
+    return refused(Reply.error());
+  countUse(HistoryBefore, Reply->Use);
+  return Reply;
+}
+
+void Owner::Impl::countUse(TokenCount HistoryBefore, const TokenUse &Use) {
+  const TokenCount Reusable = std::min(HistoryBefore, Use.Prompt);
+  std::lock_guard<std::mutex> Lock(Mutex);
+  Counts.PromptTokens += Use.Prompt;
+  Counts.CachedTokens += Use.Cached;
+  if (Reusable > Use.Cached)
+    Counts.PrefilledAgain += Reusable - Use.Cached;
 }
 
 Result Owner::Impl::resultOf(const OpenAttempt &Attempt,
--- a/packages/entry/src/OwnerImpl.h
+++ b/packages/entry/src/OwnerImpl.h
@@ -5,6 +5,7 @@
 #include "Prompt.h"
 #include "tamarack/entry/Owner.h"
 
+#include <deque>
 #include <set>
 
 namespace tamarack {
@@ -29,6 +30,8 @@
        const Clock &Time, OwnerSettings Settings,
        std::function<std::string()> Fresh, std::function<std::uint64_t()> Draw);
 
+  Expected<CallReply> serveCall(const CallOrder &Order, const PartSink &OnPart,
+                                CallTrace &Trace);
   Expected<ServedFamily> serve(const ProgramId &Program);
   std::int64_t nowMs() const;
 
@@ -48,7 +51,7 @@
                                     const CallOrder &Order,
                                     const CallRequest &Request,
                                     const StartCall &Start,
-                                    const std::vector<EndpointId> &Tried);
+                                    const std::vector<EndpointId> &Tried, CallTrace &Trace);
   /// Sends an attempt and gives its result, whatever it takes to learn it.
   Result runAttempt(const OpenAttempt &Attempt, const ExecuteOrder &Execute,
                     const PartSink &OnPart, TimePoint Deadline);
@@ -61,7 +64,9 @@
   Expected<CallReply> start(const ServedFamily &Where, FamilyLock &Lock,
                             const CallOrder &Order, const CallRequest &Request,
                             const StartCall &Start, const PartSink &OnPart,
-                            std::vector<EndpointId> &Tried, TimePoint Deadline);
+                            std::vector<EndpointId> &Tried, CallTrace &Trace, TimePoint Deadline);
+  void countUse(TokenCount HistoryBefore, const TokenUse &Use);
+  void remember(CallTrace Trace);
   Expected<CallReply> refused(const Error &Why);
 
   /// Ends a program and frees its engine memory.
@@ -79,6 +84,8 @@
   const std::function<std::uint64_t()> Draw;
 
   mutable std::mutex Mutex;
+  /// Newest last, bounded.
+  std::deque<CallTrace> Traces;
   /// Attempts that a thread of this process is waiting for.
   std::set<AttemptId> Local;
   OwnerCounts Counts;
--- a/packages/gate/include/tamarack/gate/CallClass.h
+++ b/packages/gate/include/tamarack/gate/CallClass.h
@@ -1,37 +1,7 @@
-/// The classes of calls, and tables with a value for each.
-///
-///   PerClass<double> Share{{0.25, 0.10, 0.05}};
-///   for (CallClass Class : AllClasses)
-///     Sum += Share[Class];
+/// The classes of calls, which base/CallClass.h declares.
 #ifndef TAMARACK_GATE_CALLCLASS_H
 #define TAMARACK_GATE_CALLCLASS_H
 
-#include "tamarack/base/Compare.h"
-
-#include <array>
-#include <cstddef>
-
-namespace tamarack {
-
-enum class CallClass { High, Normal, Low };
-
-constexpr std::size_t CallClassCount = 3;
-constexpr std::array<CallClass, CallClassCount> AllClasses{
-    CallClass::High, CallClass::Normal, CallClass::Low};
-
-/// A value for each CallClass.
-template <typename T> struct PerClass {
-  std::array<T, CallClassCount> Values{};
-
-  T &operator[](CallClass Class) {
-    return Values[static_cast<std::size_t>(Class)];
-  }
-  const T &operator[](CallClass Class) const {
-    return Values[static_cast<std::size_t>(Class)];
-  }
-  auto tied() const { return std::tie(Values); }
-};
-
-} // namespace tamarack
+#include "tamarack/base/CallClass.h"
 
 #endif // TAMARACK_GATE_CALLCLASS_H
