--- a/packages/ledger/src/FrameFile.cpp
+++ b/packages/ledger/src/FrameFile.cpp
@@ -1,5 +1,6 @@
 #include "FrameFile.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
@@ -13,8 +14,10 @@
 namespace {
 
 constexpr std::size_t LengthBytes = 4;
+constexpr std::size_t LengthHashBytes = 4;
 constexpr std::size_t HashBytes = 8;
-constexpr std::size_t HeaderBytes = LengthBytes + HashBytes;
+constexpr std::size_t HashOffset = LengthBytes + LengthHashBytes;
+constexpr std::size_t HeaderBytes = HashOffset + HashBytes;
 constexpr mode_t FileMode = 0640;
 
 void putNumber(std::uint8_t *To, std::uint64_t Number, std::size_t Width) {
@@ -29,10 +32,17 @@
   return Number;
 }
 
+/// Tells a damaged length from a frame that was cut short.
+std::uint64_t lengthHash(const std::uint8_t *Header) {
+  return XXH3_64bits(Header, LengthBytes) & 0xffffffffU;
+}
+
 Bytes frameOf(const Bytes &Payload) {
   Bytes Frame(HeaderBytes + Payload.size());
   putNumber(Frame.data(), Payload.size(), LengthBytes);
-  putNumber(Frame.data() + LengthBytes,
+  putNumber(Frame.data() + LengthBytes, lengthHash(Frame.data()),
+            LengthHashBytes);
+  putNumber(Frame.data() + HashOffset,
             XXH3_64bits(Payload.data(), Payload.size()), HashBytes);
   std::copy(Payload.begin(), Payload.end(), Frame.begin() + HeaderBytes);
   return Frame;
@@ -74,10 +84,22 @@
   return Offset + HeaderBytes + Length;
 }
 
+/// Whether the length at \p Offset was changed after it was written. A crash
+/// of the machine may leave zeros where nothing was written.
+bool isLengthDamaged(const Bytes &Whole, std::size_t Offset) {
+  if (Whole.size() - Offset < HeaderBytes)
+    return false;
+  const std::uint8_t *Header = Whole.data() + Offset;
+  const auto IsZero = [](std::uint8_t Byte) { return Byte == 0; };
+  return takeNumber(Header + LengthBytes, LengthHashBytes) !=
+             lengthHash(Header) &&
+         !std::all_of(Header, Whole.data() + Whole.size(), IsZero);
+}
+
 bool isSound(const Bytes &Whole, std::size_t Offset, std::size_t End) {
   const std::uint8_t *Payload = Whole.data() + Offset + HeaderBytes;
   const std::uint64_t Hash =
-      takeNumber(Whole.data() + Offset + LengthBytes, HashBytes);
+      takeNumber(Whole.data() + Offset + HashOffset, HashBytes);
   return Hash == XXH3_64bits(Payload, End - Offset - HeaderBytes);
 }
 
@@ -139,7 +161,8 @@
   while (Offset < Whole.size()) {
     const std::optional<std::size_t> End = frameEnd(Whole, Offset);
     const bool Sound = End && isSound(Whole, Offset, *End);
-    if (!Sound && End && *End < Whole.size())
+    if (isLengthDamaged(Whole, Offset) ||
+        (!Sound && End && *End < Whole.size()))
       return refuse(ErrorKind::Internal,
                     "damaged at byte " + std::to_string(Offset));
     if (!Sound)
--- a/packages/ledger/src/FrameFile.h
+++ b/packages/ledger/src/FrameFile.h
@@ -1,6 +1,6 @@
 /// An append-only file of checksummed frames.
 ///
-/// Each frame is its payload's length, the payload's hash and the payload. A
+/// Each frame is its payload's length, hashes of both and the payload. A
 /// last frame that is incomplete was never answered and is dropped on open; a
 /// damaged frame before the end refuses the file.
 #ifndef TAMARACK_LEDGER_FRAMEFILE_H
