--- a/packages/ledger/include/tamarack/ledger/Records.h
+++ b/packages/ledger/include/tamarack/ledger/Records.h
@@ -131,8 +131,10 @@
                                    Digest, Attempt, Endpoint,
                                    EndpointIncarnation, Repeatable, Reserved,
                                    NewMessages)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Result, Call, Attempt, How, Answer,
-                                   AnswerMessage, Used)
+/// A message that stands in the answer word for word is written as its place
+/// there, since it is most of the answer.
+void to_json(Json &Value, const Result &From);
+void from_json(const Json &Value, Result &To);
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Ended, Reason)
 void to_json(Json &Value, const Record &From);
 void from_json(const Json &Value, Record &To);
--- a/packages/ledger/src/Apply.cpp
+++ b/packages/ledger/src/Apply.cpp
@@ -77,7 +77,7 @@
   const TokenCount Left = Now.Budget - Now.Settled - Now.Reserved;
   if (Body.Reserved > Left)
     return "the budget does not cover it";
-  if (!internal::messagesOf(Body.NewMessages))
+  if (!internal::isMessages(Body.NewMessages))
     return "its new messages are no JSON array";
   const auto Before = State.Calls.find(Body.Call);
   return Before == State.Calls.end() ? whyNoNewCall(Now, State, Body)
--- a/packages/ledger/src/DecideCall.cpp
+++ b/packages/ledger/src/DecideCall.cpp
@@ -162,7 +162,7 @@
 
 CallDecision decideCall(const Family &Now, const CallRequest &Request,
                         std::int64_t NowMs) {
-  if (!internal::messagesOf(Request.NewMessages))
+  if (!internal::isMessages(Request.NewMessages))
     return refused(ErrorKind::MalformedRequest,
                    "the new messages are no JSON array");
   const auto Found = Now.Programs.find(Request.Program);
--- a/packages/ledger/src/ProgramRules.cpp
+++ b/packages/ledger/src/ProgramRules.cpp
@@ -35,6 +35,13 @@
   return false;
 }
 
+bool isMessages(const std::string &Text) {
+  if (Text.empty())
+    return true;
+  const std::size_t Start = Text.find_first_not_of(" \t\r\n");
+  return Start != std::string::npos && Text[Start] == '[' && Json::accept(Text);
+}
+
 std::optional<std::vector<std::string>> messagesOf(const std::string &Array) {
   std::vector<std::string> Messages;
   if (Array.empty())
--- a/packages/ledger/src/ProgramRules.h
+++ b/packages/ledger/src/ProgramRules.h
@@ -14,6 +14,9 @@
 /// call has begun: the history stays in order.
 bool isRetriable(const ProgramState &State, const CallState &Call);
 
+/// Whether \p Text is a JSON array, or empty.
+bool isMessages(const std::string &Text);
+
 /// The JSON texts of the elements of a JSON array; empty text is no elements.
 std::optional<std::vector<std::string>> messagesOf(const std::string &Array);
 
--- a/packages/ledger/src/Records.cpp
+++ b/packages/ledger/src/Records.cpp
@@ -33,6 +33,36 @@
 
 } // namespace
 
+void to_json(Json &Value, const Result &From) {
+  Value = Json{{"Call", From.Call},
+               {"Attempt", From.Attempt},
+               {"How", From.How},
+               {"Answer", From.Answer},
+               {"Used", From.Used}};
+  const std::size_t Offset = From.Answer.find(From.AnswerMessage);
+  if (Offset == std::string::npos)
+    Value["AnswerMessage"] = From.AnswerMessage;
+  else
+    Value["MessageAt"] = {Offset, From.AnswerMessage.size()};
+}
+
+void from_json(const Json &Value, Result &To) {
+  Value.at("Call").get_to(To.Call);
+  Value.at("Attempt").get_to(To.Attempt);
+  Value.at("How").get_to(To.How);
+  Value.at("Answer").get_to(To.Answer);
+  Value.at("Used").get_to(To.Used);
+  using Place = std::pair<std::size_t, std::size_t>;
+  const auto [Offset, Length] = Value.value("MessageAt", Place(1, 0));
+  // A place outside of the answer counts as a missing message.
+  const bool IsInside =
+      Offset <= To.Answer.size() && Length <= To.Answer.size() - Offset;
+  if (Value.contains("MessageAt") && IsInside)
+    To.AnswerMessage = To.Answer.substr(Offset, Length);
+  else
+    Value.at("AnswerMessage").get_to(To.AnswerMessage);
+}
+
 void to_json(Json &Value, const Record &From) {
   Value = Json::object();
   Value["Program"] = From.Program;
