--- a/packages/routing/bench/RoutingBench.cpp
+++ b/packages/routing/bench/RoutingBench.cpp
@@ -1,4 +1,5 @@
 /// Counts of the choice of an endpoint with stale reports, and its time.
+#include "BurstFake.h"
 #include "RoutingFake.h"
 
 #include <benchmark/benchmark.h>
--- a/packages/routing/bench/RoutingFake.h
+++ b/packages/routing/bench/RoutingFake.h
@@ -12,13 +12,14 @@
 #ifndef TAMARACK_ROUTING_BENCH_ROUTINGFAKE_H
 #define TAMARACK_ROUTING_BENCH_ROUTINGFAKE_H
 
+#include "PromptCacheFake.h"
+
 #include "tamarack/routing/ChooseEndpoint.h"
 #include "tamarack/routing/Subset.h"
 
 #include <algorithm>
 #include <cmath>
 #include <deque>
-#include <list>
 #include <queue>
 #include <random>
 
@@ -102,9 +103,7 @@
   struct Server {
     std::uint32_t Running = 0;
     std::deque<std::size_t> Waiting;
-    /// The programs whose prompts it holds, the last used first.
-    std::list<std::pair<std::size_t, TokenCount>> Cache;
-    TokenCount CachedTokens = 0;
+    PromptCacheFake Cache;
   };
   struct Owner {
     std::vector<std::size_t> Watched;
@@ -114,7 +113,6 @@
 
   static constexpr std::uint64_t Seed = 20261203;
   static constexpr std::uint32_t Slots = 8;
-  static constexpr TokenCount CacheTokens = 400'000;
   static constexpr TokenCount FirstPrompt = 4000;
   static constexpr TokenCount GrowthPerTurn = 500;
   static constexpr double DecodeSeconds = 2.0;
@@ -301,14 +299,7 @@
   }
 
   TokenCount takeCached(Server &At, std::size_t Number, const Program &Caller) {
-    TokenCount Cached = 0;
-    for (auto It = At.Cache.begin(); It != At.Cache.end(); ++It)
-      if (It->first == Number) {
-        Cached = It->second;
-        At.CachedTokens -= Cached;
-        At.Cache.erase(It);
-        break;
-      }
+    const TokenCount Cached = At.Cache.take(Number);
     if (Caller.TurnsLeft < Plan.Turns) {
       CacheableTokens += Caller.Tokens - GrowthPerTurn;
       HitTokens += Cached;
@@ -320,12 +311,7 @@
     Server &At = Servers[Target];
     Program &Caller = Programs[Number];
     --At.Running;
-    At.Cache.emplace_front(Number, Caller.Tokens);
-    At.CachedTokens += Caller.Tokens;
-    while (At.CachedTokens > CacheTokens) {
-      At.CachedTokens -= At.Cache.back().second;
-      At.Cache.pop_back();
-    }
+    At.Cache.put(Number, Caller.Tokens);
     start(Target);
     takeReply(Caller, Target);
     if (--Caller.TurnsLeft == 0)
@@ -395,29 +381,6 @@
   RoutingResult Result;
 };
 
-/// How evenly one entry spreads \p Calls that come at once, all with a prefix
-/// cached at the first endpoint: the most calls of an endpoint over the mean.
-inline double herdOfBurst(std::size_t Calls, std::size_t Endpoints) {
-  constexpr Duration WorkOfOneCall = std::chrono::milliseconds(300);
-  std::vector<EndpointView> Views(Endpoints);
-  for (std::size_t I = 0; I < Endpoints; ++I)
-    Views[I].Endpoint = EndpointId("endpoint-" + std::to_string(I));
-  CallNeeds Needs;
-  Needs.PromptTokens = 4000;
-  Needs.CachedAt = {{Views.front().Endpoint, 2000}};
-  std::mt19937_64 Draw(20261203);
-  std::map<EndpointId, std::size_t> Sent;
-  std::size_t Most = 0;
-  for (std::size_t I = 0; I < Calls; ++I) {
-    const auto Chosen = chooseEndpoint(Views, Needs, CostModel(), Draw());
-    Most = std::max(Most, ++Sent[Chosen->Endpoint]);
-    for (EndpointView &Each : Views)
-      if (Each.Endpoint == Chosen->Endpoint)
-        Each.OwnSentSince += WorkOfOneCall;
-  }
-  return static_cast<double>(Most * Endpoints) / static_cast<double>(Calls);
-}
-
 inline RoutingResult runRouting(const RoutingPlan &Plan, Policy Chosen) {
   return RoutingFake(Plan, Chosen).run();
 }
--- a/packages/routing/test/RoutingPolicyTest.cpp
+++ b/packages/routing/test/RoutingPolicyTest.cpp
@@ -1,4 +1,5 @@
 /// The bounds on the policy's counts, on the fakes of the benchmarks.
+#include "BurstFake.h"
 #include "RetryFake.h"
 #include "RoutingFake.h"
 
