Spread the claims of a restarted entry like those of a lost one

Cause: a restarted entry claimed its shards at once, with no spreading, and queued behind its own bound on claims in flight, while the next-ranked entries came in after their head start. Shards moved though their owner was back.

--- a/packages/members/bench/OwnershipBench.cpp
+++ b/packages/members/bench/OwnershipBench.cpp
@@ -53,6 +53,7 @@
   ClaimLimits Limits;
   if (State.range(2) == 0)
     Limits.ClaimsPerSecond = 0;
+  Plan.Restarted = State.range(3) == 1;
   TakeOver Result;
   for (auto Unused : State)
     Result = runTakeOver(Plan, Limits);
@@ -67,12 +68,15 @@
   State.counters["took_s"] = std::chrono::duration<double>(Result.Took).count();
 }
 BENCHMARK(takeOver)
-    ->ArgNames({"entries", "lost", "paced"})
-    ->Args({4, 1, 1})
-    ->Args({16, 1, 1})
-    ->Args({400, 1, 1})
-    ->Args({400, 134, 1})
-    ->Args({400, 134, 0})
+    ->ArgNames({"entries", "lost", "paced", "restarted"})
+    ->Args({4, 1, 1, 0})
+    ->Args({16, 1, 1, 0})
+    ->Args({400, 1, 1, 0})
+    ->Args({400, 134, 1, 0})
+    ->Args({400, 134, 0, 0})
+    ->Args({4, 1, 1, 1})
+    ->Args({16, 1, 1, 1})
+    ->Args({400, 134, 1, 1})
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
 
--- a/packages/members/bench/TakeOverFake.h
+++ b/packages/members/bench/TakeOverFake.h
@@ -45,6 +45,8 @@
   std::size_t Lost = 1;
   std::uint32_t Shards = 1024;
   double WritesPerSecond = 300;
+  /// The lost entries are back, as new incarnations, when the rest notice.
+  bool Restarted = false;
   /// How far apart the survivors notice the loss.
   Duration NoticeSpread = std::chrono::milliseconds(500);
   /// Until the others know of a change of ownership.
@@ -68,6 +70,8 @@
     const auto All = entriesNamed(Plan.Entries);
     Survivors.assign(All.begin() + static_cast<long>(Plan.Lost), All.end());
     const std::set<InstanceId> Alive(Survivors.begin(), Survivors.end());
+    if (Plan.Restarted)
+      Survivors = All;
     const auto Before = ownersOf(Plan.Shards, All);
     for (ShardId Shard = 0; Shard < Plan.Shards; ++Shard)
       if (!Alive.count(Before[Shard]))
--- a/packages/members/src/Ownership.cpp
+++ b/packages/members/src/Ownership.cpp
@@ -93,16 +93,16 @@
 
 /// How long this entry leaves the shard to better-ranked ones.
 Duration headStart(const ClaimFacts &Facts, const ClaimLimits &Limits) {
-  // Handed over to this entry, or held by its predecessor.
-  if (Facts.Owner == Facts.Self)
-    return Duration(0);
+  // Handed over to this entry, or held by its predecessor: nobody goes first.
+  const std::size_t Better =
+      Facts.Owner == Facts.Self
+          ? 0
+          : rankOf(Facts.Shard, Facts.Entries, Facts.Self);
   const Duration Delay = Facts.Wanted
                              ? Duration(0)
                              : claimDelay(Facts.Shard, Facts.OwnerlessShards,
                                           Limits.ClaimsPerSecond);
-  const auto Better = static_cast<Duration::rep>(
-      rankOf(Facts.Shard, Facts.Entries, Facts.Self));
-  return Limits.SuspicionPeriod * Better + Delay;
+  return Limits.SuspicionPeriod * static_cast<Duration::rep>(Better) + Delay;
 }
 
 } // namespace
--- a/packages/members/test/OwnershipTest.cpp
+++ b/packages/members/test/OwnershipTest.cpp
@@ -261,6 +261,17 @@
   BOOST_TEST(Result.Took.count() <= 20'000'000);
 }
 
+BOOST_AUTO_TEST_CASE(ARestartedEntryTakesItsOwnShardsBack) {
+  for (std::size_t Entries : {4, 16, 400}) {
+    TakeOverPlan Plan{Entries, 1, 8192};
+    Plan.Restarted = true;
+    const TakeOver Result = runTakeOver(Plan, ClaimLimits());
+    BOOST_TEST_INFO(Entries << " entries, " << Result.Moved << " claimed");
+    BOOST_TEST(Result.WrongOwner == 0U);
+    BOOST_TEST(static_cast<double>(Result.Attempts) <= 1.1 * Result.Moved);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ALostOwnerIsReplacedWithinSevenHeartbeats) {
   BOOST_TEST(heartbeatsToClaim(false) <= 7.0);
   BOOST_TEST(heartbeatsToClaim(true) <= 4.0);
