Name the members that a process goes on contacting

Cause: a silent member comes back only by a heartbeat. If both sides of a broken network give each other up and nobody opens connections to the gone, none ever comes.

membersToContact() keeps the gone ones that the platform still lists. Seen red with the listing ignored: [0 != 2].

--- a/packages/members/include/tamarack/members/Membership.h
+++ b/packages/members/include/tamarack/members/Membership.h
@@ -139,6 +139,11 @@
 std::vector<Member> membersIn(const MemberTable &Table, MemberState Worst,
                               Role Kind);
 
+/// The members to hold a connection to: all but the gone, and of the gone
+/// those that the platform still lists. Only a heartbeat brings those back, so
+/// somebody must go on trying.
+std::vector<Member> membersToContact(const MemberTable &Table);
+
 /// The state of \p Instance as of \p Life: Gone when it is unknown or has
 /// been restarted since. A \p Life of zero stands for any incarnation.
 MemberState stateOf(const MemberTable &Table, const InstanceId &Instance,
--- a/packages/members/src/Membership.cpp
+++ b/packages/members/src/Membership.cpp
@@ -240,6 +240,15 @@
   });
 }
 
+std::vector<Member> membersToContact(const MemberTable &Table) {
+  std::vector<Member> Wanted;
+  for (const auto &[Instance, View] : Table.Members)
+    if (View.Known.State != MemberState::Gone ||
+        View.Platform == Listing::Listed)
+      Wanted.push_back(View.Known);
+  return Wanted;
+}
+
 MemberState stateOf(const MemberTable &Table, const InstanceId &Instance,
                     Incarnation Life) {
   auto Found = Table.Members.find(Instance);
--- a/packages/members/test/MembershipTest.cpp
+++ b/packages/members/test/MembershipTest.cpp
@@ -257,6 +257,18 @@
   BOOST_TEST(membersIn(Table, MemberState::Live, Role::Endpoint).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(AGoneMemberIsContactedWhileThePlatformListsIt) {
+  MemberTable Table = onPlatformList({}, {entry("a"), entry("b")}, at(0));
+  for (const char *Silent : {"a", "b"})
+    Table = onLinkLost(std::move(Table), InstanceId(Silent), at(0));
+  Table = onTick(std::move(Table), at(3000));
+  BOOST_TEST(stateOf(Table, A) == MemberState::Gone);
+  BOOST_TEST(membersToContact(Table).size() == 2U);
+  Table = onPlatformList(std::move(Table), {entry("a")}, at(3001));
+  BOOST_TEST_REQUIRE(membersToContact(Table).size() == 1U);
+  BOOST_TEST(membersToContact(Table).front().Instance == A);
+}
+
 BOOST_AUTO_TEST_CASE(AMemberSurvivesJson) {
   Member Full = entry("a", 7, MemberState::Leaving);
   Full.Kind = Role::Endpoint;
