--- a/packages/routing/bench/RoutingBench.cpp
+++ b/packages/routing/bench/RoutingBench.cpp
@@ -71,6 +71,24 @@
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
 
+void leaving(benchmark::State &State) {
+  RoutingPlan Plan;
+  Plan.ReportPeriod = std::chrono::seconds(5);
+  Plan.LeavesAt = std::chrono::seconds(State.range(0));
+  RoutingResult Result;
+  for (auto Unused : State)
+    Result = runRouting(Plan, Policy::ByCost);
+  show(State, Result);
+  State.counters["worst_herd"] = Result.WorstHerd;
+  State.counters["sent_to_leaving"] = static_cast<double>(Result.SentToLeaving);
+}
+BENCHMARK(leaving)
+    ->ArgName("leaves_at_s")
+    ->Arg(0)
+    ->Arg(150)
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
 void burst(benchmark::State &State) {
   double Herd = 0;
   for (auto Unused : State)
--- a/packages/routing/bench/RoutingFake.h
+++ b/packages/routing/bench/RoutingFake.h
@@ -13,6 +13,7 @@
 #define TAMARACK_ROUTING_BENCH_ROUTINGFAKE_H
 
 #include "PromptCacheFake.h"
+#include "RoutingPlan.h"
 
 #include "tamarack/routing/ChooseEndpoint.h"
 #include "tamarack/routing/Subset.h"
@@ -25,32 +26,6 @@
 
 namespace tamarack {
 
-enum class Policy { RoundRobin, LeastLoaded, ByCost };
-
-struct RoutingPlan {
-  std::size_t Entries = 4;
-  std::size_t Endpoints = 14;
-  /// Zero: every decision sees the present load.
-  Duration ReportPeriod = std::chrono::seconds(1);
-  std::size_t SubsetTarget = 48;
-  double Utilisation = 0.75;
-  std::size_t Turns = 8;
-  Duration Runs = std::chrono::seconds(300);
-  CostModel Model;
-};
-
-struct RoutingResult {
-  std::size_t Calls = 0;
-  std::size_t Programs = 0;
-  std::size_t Moves = 0;
-  /// Of the tokens that an earlier turn had already prefilled.
-  double CacheHitRate = 0;
-  /// The longest queue over the mean one, averaged over time.
-  double Herd = 0;
-  double MeanWaitSeconds = 0;
-  double MeanProgramSeconds = 0;
-};
-
 class RoutingFake {
 public:
   RoutingFake(const RoutingPlan &Plan, Policy Chosen)
@@ -66,6 +41,8 @@
   RoutingResult run() {
     push(drawGap(ArrivalGap, Arrivals), Event::Arrival, 0, 0);
     push(SamplePeriod, Event::Sample, 0, 0);
+    if (Plan.LeavesAt.count() > 0)
+      push(Plan.LeavesAt, Event::Leave, 0, 0);
     if (Plan.ReportPeriod.count() > 0)
       scheduleReports();
     while (Events.top().At < TimePoint(Plan.Runs)) {
@@ -79,7 +56,7 @@
 
 private:
   struct Event {
-    enum Kind { Arrival, Turn, Done, Report, Sample };
+    enum Kind { Arrival, Turn, Done, Report, Sample, Leave };
     TimePoint At;
     std::uint64_t Order;
     Kind What;
@@ -101,6 +78,7 @@
     std::mt19937_64 Draw;
   };
   struct Server {
+    bool Leaving = false;
     std::uint32_t Running = 0;
     std::deque<std::size_t> Waiting;
     PromptCacheFake Cache;
@@ -190,6 +168,9 @@
       report(Owners[Next.First], Next.Second);
       push(Plan.ReportPeriod, Event::Report, Next.First, Next.Second);
       break;
+    case Event::Leave:
+      leave(Next.First);
+      break;
     case Event::Sample:
       sample();
       push(SamplePeriod, Event::Sample, 0, 0);
@@ -209,6 +190,15 @@
     push(drawGap(ArrivalGap, Arrivals), Event::Arrival, 0, 0);
   }
 
+  /// All entries hear that \p Target leaves; it finishes what it has.
+  void leave(std::size_t Target) {
+    Servers[Target].Leaving = true;
+    for (Owner &Entry : Owners)
+      for (std::size_t Slot = 0; Slot < Entry.Watched.size(); ++Slot)
+        if (Entry.Watched[Slot] == Target)
+          Entry.Views[Slot].State = MemberState::Leaving;
+  }
+
   void report(Owner &Entry, std::size_t Slot) {
     const Server &From = Servers[Entry.Watched[Slot]];
     EndpointView &View = Entry.Views[Slot];
@@ -235,6 +225,8 @@
     const std::size_t Slot = choose(Entry, Caller);
     const std::size_t Target = Entry.Watched[Slot];
     Entry.Views[Slot].OwnSentSince += seconds(ServiceSeconds / Slots);
+    if (Servers[Target].Leaving)
+      ++Result.SentToLeaving;
     if (Caller.Last && *Caller.Last != Target)
       ++Result.Moves;
     Caller.Last = Target;
@@ -346,8 +338,10 @@
     }
     if (Total == 0)
       return;
-    Herds += static_cast<double>(Longest * Servers.size()) /
-             static_cast<double>(Total);
+    const double Herd = static_cast<double>(Longest * Servers.size()) /
+                        static_cast<double>(Total);
+    Herds += Herd;
+    Result.WorstHerd = std::max(Result.WorstHerd, Herd);
     ++Samples;
   }
 
--- a/packages/routing/test/RoutingPolicyTest.cpp
+++ b/packages/routing/test/RoutingPolicyTest.cpp
@@ -60,6 +60,18 @@
   BOOST_TEST(Subset.Herd <= 1.2 * Whole.Herd);
 }
 
+BOOST_AUTO_TEST_CASE(ProgramsOfALeavingEndpointAreSpreadOverTheRest) {
+  RoutingPlan Plan;
+  Plan.ReportPeriod = std::chrono::seconds(5);
+  const auto Undisturbed = runRouting(Plan, Policy::ByCost);
+  Plan.LeavesAt = std::chrono::seconds(150);
+  const auto Result = runRouting(Plan, Policy::ByCost);
+  BOOST_TEST(Result.SentToLeaving == 0U);
+  BOOST_TEST(Result.WorstHerd <= 1.25 * Undisturbed.WorstHerd);
+  BOOST_TEST(Result.MeanProgramSeconds <=
+             1.05 * Undisturbed.MeanProgramSeconds);
+}
+
 BOOST_AUTO_TEST_CASE(ABurstIsSpreadThoughNoReportShowsIt) {
   BOOST_TEST(herdOfBurst(28, 14) <= 4.0);
   BOOST_TEST(herdOfBurst(140, 14) <= 2.0);
