--- a/packages/routing/bench/RoutingFake.h
+++ b/packages/routing/bench/RoutingFake.h
@@ -12,44 +12,20 @@
 #ifndef TAMARACK_ROUTING_BENCH_ROUTINGFAKE_H
 #define TAMARACK_ROUTING_BENCH_ROUTINGFAKE_H
 
+#include "PromptCacheFake.h"
+#include "RoutingPlan.h"
+
 #include "tamarack/routing/ChooseEndpoint.h"
 #include "tamarack/routing/Subset.h"
 
 #include <algorithm>
 #include <cmath>
 #include <deque>
-#include <list>
 #include <queue>
 #include <random>
 
 namespace tamarack {
 
-enum class Policy { RoundRobin, LeastLoaded, ByCost };
-
-struct RoutingPlan {
-  std::size_t Entries = 4;
-  std::size_t Endpoints = 14;
-  /// Zero: every decision sees the present load.
-  Duration ReportPeriod = std::chrono::seconds(1);
-  std::size_t SubsetTarget = 48;
-  double Utilisation = 0.75;
-  std::size_t Turns = 8;
-  Duration Runs = std::chrono::seconds(300);
-  CostModel Model;
-};
-
-struct RoutingResult {
-  std::size_t Calls = 0;
-  std::size_t Programs = 0;
-  std::size_t Moves = 0;
-  /// Of the tokens that an earlier turn had already prefilled.
-  double CacheHitRate = 0;
-  /// The longest queue over the mean one, averaged over time.
-  double Herd = 0;
-  double MeanWaitSeconds = 0;
-  double MeanProgramSeconds = 0;
-};
-
 class RoutingFake {
 public:
   RoutingFake(const RoutingPlan &Plan, Policy Chosen)
@@ -65,6 +41,8 @@
   RoutingResult run() {
     push(drawGap(ArrivalGap, Arrivals), Event::Arrival, 0, 0);
     push(SamplePeriod, Event::Sample, 0, 0);
+    if (Plan.LeavesAt.count() > 0)
+      push(Plan.LeavesAt, Event::Leave, 0, 0);
     if (Plan.ReportPeriod.count() > 0)
       scheduleReports();
     while (Events.top().At < TimePoint(Plan.Runs)) {
@@ -78,7 +56,7 @@
 
 private:
   struct Event {
-    enum Kind { Arrival, Turn, Done, Report, Sample };
+    enum Kind { Arrival, Turn, Done, Report, Sample, Leave };
     TimePoint At;
     std::uint64_t Order;
     Kind What;
@@ -100,11 +78,10 @@
     std::mt19937_64 Draw;
   };
   struct Server {
+    bool Leaving = false;
     std::uint32_t Running = 0;
     std::deque<std::size_t> Waiting;
-    /// The programs whose prompts it holds, the last used first.
-    std::list<std::pair<std::size_t, TokenCount>> Cache;
-    TokenCount CachedTokens = 0;
+    PromptCacheFake Cache;
   };
   struct Owner {
     std::vector<std::size_t> Watched;
@@ -114,7 +91,6 @@
 
   static constexpr std::uint64_t Seed = 20261203;
   static constexpr std::uint32_t Slots = 8;
-  static constexpr TokenCount CacheTokens = 400'000;
   static constexpr TokenCount FirstPrompt = 4000;
   static constexpr TokenCount GrowthPerTurn = 500;
   static constexpr double DecodeSeconds = 2.0;
@@ -192,6 +168,9 @@
       report(Owners[Next.First], Next.Second);
       push(Plan.ReportPeriod, Event::Report, Next.First, Next.Second);
       break;
+    case Event::Leave:
+      leave(Next.First);
+      break;
     case Event::Sample:
       sample();
       push(SamplePeriod, Event::Sample, 0, 0);
@@ -211,6 +190,15 @@
     push(drawGap(ArrivalGap, Arrivals), Event::Arrival, 0, 0);
   }
 
+  /// All entries hear that \p Target leaves; it finishes what it has.
+  void leave(std::size_t Target) {
+    Servers[Target].Leaving = true;
+    for (Owner &Entry : Owners)
+      for (std::size_t Slot = 0; Slot < Entry.Watched.size(); ++Slot)
+        if (Entry.Watched[Slot] == Target)
+          Entry.Views[Slot].State = MemberState::Leaving;
+  }
+
   void report(Owner &Entry, std::size_t Slot) {
     const Server &From = Servers[Entry.Watched[Slot]];
     EndpointView &View = Entry.Views[Slot];
@@ -237,6 +225,8 @@
     const std::size_t Slot = choose(Entry, Caller);
     const std::size_t Target = Entry.Watched[Slot];
     Entry.Views[Slot].OwnSentSince += seconds(ServiceSeconds / Slots);
+    if (Servers[Target].Leaving)
+      ++Result.SentToLeaving;
     if (Caller.Last && *Caller.Last != Target)
       ++Result.Moves;
     Caller.Last = Target;
@@ -301,14 +291,7 @@
   }
 
   TokenCount takeCached(Server &At, std::size_t Number, const Program &Caller) {
-    TokenCount Cached = 0;
-    for (auto It = At.Cache.begin(); It != At.Cache.end(); ++It)
-      if (It->first == Number) {
-        Cached = It->second;
-        At.CachedTokens -= Cached;
-        At.Cache.erase(It);
-        break;
-      }
+    const TokenCount Cached = At.Cache.take(Number);
     if (Caller.TurnsLeft < Plan.Turns) {
       CacheableTokens += Caller.Tokens - GrowthPerTurn;
       HitTokens += Cached;
@@ -320,12 +303,7 @@
     Server &At = Servers[Target];
     Program &Caller = Programs[Number];
     --At.Running;
-    At.Cache.emplace_front(Number, Caller.Tokens);
-    At.CachedTokens += Caller.Tokens;
-    while (At.CachedTokens > CacheTokens) {
-      At.CachedTokens -= At.Cache.back().second;
-      At.Cache.pop_back();
-    }
+    At.Cache.put(Number, Caller.Tokens);
     start(Target);
     takeReply(Caller, Target);
     if (--Caller.TurnsLeft == 0)
@@ -360,8 +338,10 @@
     }
     if (Total == 0)
       return;
-    Herds += static_cast<double>(Longest * Servers.size()) /
-             static_cast<double>(Total);
+    const double Herd = static_cast<double>(Longest * Servers.size()) /
+                        static_cast<double>(Total);
+    Herds += Herd;
+    Result.WorstHerd = std::max(Result.WorstHerd, Herd);
     ++Samples;
   }
 
@@ -395,29 +375,6 @@
   RoutingResult Result;
 };
 
-/// How evenly one entry spreads \p Calls that come at once, all with a prefix
-/// cached at the first endpoint: the most calls of an endpoint over the mean.
-inline double herdOfBurst(std::size_t Calls, std::size_t Endpoints) {
-  constexpr Duration WorkOfOneCall = std::chrono::milliseconds(300);
-  std::vector<EndpointView> Views(Endpoints);
-  for (std::size_t I = 0; I < Endpoints; ++I)
-    Views[I].Endpoint = EndpointId("endpoint-" + std::to_string(I));
-  CallNeeds Needs;
-  Needs.PromptTokens = 4000;
-  Needs.CachedAt = {{Views.front().Endpoint, 2000}};
-  std::mt19937_64 Draw(20261203);
-  std::map<EndpointId, std::size_t> Sent;
-  std::size_t Most = 0;
-  for (std::size_t I = 0; I < Calls; ++I) {
-    const auto Chosen = chooseEndpoint(Views, Needs, CostModel(), Draw());
-    Most = std::max(Most, ++Sent[Chosen->Endpoint]);
-    for (EndpointView &Each : Views)
-      if (Each.Endpoint == Chosen->Endpoint)
-        Each.OwnSentSince += WorkOfOneCall;
-  }
-  return static_cast<double>(Most * Endpoints) / static_cast<double>(Calls);
-}
-
 inline RoutingResult runRouting(const RoutingPlan &Plan, Policy Chosen) {
   return RoutingFake(Plan, Chosen).run();
 }
