--- a/packages/standins/src/EngineServer.cpp
+++ b/packages/standins/src/EngineServer.cpp
@@ -4,6 +4,8 @@
 #include "EngineOrders.h"
 #include "HttpHost.h"
 
+#include "tamarack/standins/EngineAnswer.h"
+
 #include <mutex>
 #include <thread>
 
@@ -28,17 +30,6 @@
   BatchRequest Batch;
 };
 
-std::string renderedPrompt(const Json &Messages) {
-  std::string Text;
-  for (const auto &Each : Messages) {
-    const Json &Content = Each.at("content");
-    Text += Each.at("role").get<std::string>() + ": ";
-    Text += Content.is_string() ? Content.get<std::string>() : Content.dump();
-    Text += "\n";
-  }
-  return Text;
-}
-
 ChatRequest parseChat(const Json &Body, const std::string &Stream) {
   ChatRequest Chat;
   Chat.Model = Body.value("model", "");
--- a/packages/standins/test/EngineServerTest.cpp
+++ b/packages/standins/test/EngineServerTest.cpp
@@ -1,4 +1,5 @@
 #include "tamarack/standins/EngineServer.h"
+#include "tamarack/standins/EngineAnswer.h"
 #include "tamarack/standins/HttpJson.h"
 
 #include <boost/test/unit_test.hpp>
@@ -118,8 +119,11 @@
   BOOST_TEST(Whole.Body["usage"] == Usage);
   Usage["prompt_tokens_details"]["cached_tokens"] = 3;
   BOOST_TEST(Chunks.back()["usage"] == Usage);
-  BOOST_TEST(chat(chatBody("hello you", 5)).Body["choices"] !=
-             Whole.Body["choices"]);
+  for (const char *Text : {"hello there", "hello you"}) {
+    Json Body = chatBody(Text, 5);
+    BOOST_TEST(chat(Body).Body["choices"][0]["message"]["content"] ==
+               engineAnswer(Body["messages"], 5));
+  }
 }
 
 BOOST_AUTO_TEST_CASE(ReuseThePrefixOfTheFormerTurn) {
