--- /dev/null
+++ b/packages/ledger/src/CopyLog.cpp
@@ -0,0 +1,137 @@
+#include "tamarack/ledger/CopyLog.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+Expected<void> checkNoGap(const CopyShard &Copy, const ProgramId &Root,
+                          std::uint64_t Index) {
+  const std::size_t Length = logOf(Copy, Root).size();
+  if (Index <= Length)
+    return {};
+  return refuse(ErrorKind::WrongSequence,
+                "index " + std::to_string(Index) + " meets a log of " +
+                    std::to_string(Length) + " records");
+}
+
+/// Whether \p Root's log has changed since the copy was sealed at \p At.
+bool changedAt(const CopyShard &Copy, const ProgramId &Root, Epoch At) {
+  const auto Found = Copy.ChangedAt.find(Root);
+  return Found != Copy.ChangedAt.end() && Found->second == At;
+}
+
+/// Whether no record held is replaced by another.
+bool addsOnly(const CopyShard &Copy, const Install &Change) {
+  const std::vector<Record> &Log = logOf(Copy, Change.Root);
+  const std::size_t Shared =
+      std::min<std::size_t>(Log.size() - Change.From, Change.Tail.size());
+  const auto Held = Log.begin() + static_cast<std::ptrdiff_t>(Change.From);
+  return std::equal(Held, Held + static_cast<std::ptrdiff_t>(Shared),
+                    Change.Tail.begin());
+}
+
+} // namespace
+
+Expected<void> confirmAt(const CopyShard &Copy, Epoch At) {
+  if (At == Copy.Sealed && At != 0)
+    return {};
+  return refuse(ErrorKind::Fenced, "epoch " + std::to_string(At) +
+                                       " meets a copy sealed at " +
+                                       std::to_string(Copy.Sealed));
+}
+
+const std::vector<Record> &logOf(const CopyShard &Copy, const ProgramId &Root) {
+  static const std::vector<Record> Empty;
+  const auto Found = Copy.Logs.find(Root);
+  return Found == Copy.Logs.end() ? Empty : Found->second;
+}
+
+Expected<void> checkSeal(const CopyShard &Copy, Epoch At) {
+  if (At >= Copy.Sealed)
+    return {};
+  return confirmAt(Copy, At);
+}
+
+Expected<void> checkAppend(const CopyShard &Copy, const Append &Next) {
+  if (Expected<void> Checked = confirmAt(Copy, Next.At); !Checked)
+    return Checked;
+  if (Expected<void> Checked = checkNoGap(Copy, Next.Root, Next.Index);
+      !Checked)
+    return Checked;
+  const std::vector<Record> &Log = logOf(Copy, Next.Root);
+  if (Next.Index == Log.size() || Log[Next.Index] == Next.Entry)
+    return {};
+  return refuse(ErrorKind::Fenced,
+                "another record stands at index " + std::to_string(Next.Index));
+}
+
+Expected<void> checkInstall(const CopyShard &Copy, const Install &Change) {
+  if (Expected<void> Checked = confirmAt(Copy, Change.At); !Checked)
+    return Checked;
+  if (Expected<void> Checked = checkNoGap(Copy, Change.Root, Change.From);
+      !Checked)
+    return Checked;
+  if (!changedAt(Copy, Change.Root, Change.At) || addsOnly(Copy, Change))
+    return {};
+  return refuse(ErrorKind::Fenced,
+                "the log has changed at epoch " + std::to_string(Change.At));
+}
+
+Expected<void> sealAt(CopyShard &Copy, Epoch At) {
+  Expected<void> Checked = checkSeal(Copy, At);
+  if (Checked)
+    Copy.Sealed = At;
+  return Checked;
+}
+
+Expected<void> appendTo(CopyShard &Copy, const Append &Next) {
+  Expected<void> Checked = checkAppend(Copy, Next);
+  if (!Checked)
+    return Checked;
+  std::vector<Record> &Log = Copy.Logs[Next.Root];
+  if (Next.Index == Log.size())
+    Log.push_back(Next.Entry);
+  Copy.ChangedAt[Next.Root] = Next.At;
+  return {};
+}
+
+Expected<void> installTo(CopyShard &Copy, const Install &Change) {
+  Expected<void> Checked = checkInstall(Copy, Change);
+  if (!Checked)
+    return Checked;
+  const bool Extends = changedAt(Copy, Change.Root, Change.At);
+  std::vector<Record> &Log = Copy.Logs[Change.Root];
+  const std::size_t Kept = Extends ? Log.size() - Change.From : 0;
+  if (!Extends)
+    Log.resize(Change.From);
+  if (Kept < Change.Tail.size())
+    Log.insert(Log.end(),
+               Change.Tail.begin() + static_cast<std::ptrdiff_t>(Kept),
+               Change.Tail.end());
+  if (Log.empty())
+    Copy.Logs.erase(Change.Root);
+  Copy.ChangedAt[Change.Root] = Change.At;
+  return {};
+}
+
+Expected<CopyShard> seal(CopyShard Copy, Epoch At) {
+  if (Expected<void> Done = sealAt(Copy, At); !Done)
+    return tl::unexpected(Done.error());
+  return Copy;
+}
+
+Expected<CopyShard> append(CopyShard Copy, const Append &Next) {
+  if (Expected<void> Done = appendTo(Copy, Next); !Done)
+    return tl::unexpected(Done.error());
+  return Copy;
+}
+
+Expected<CopyShard> install(CopyShard Copy, const Install &Change) {
+  if (Expected<void> Done = installTo(Copy, Change); !Done)
+    return tl::unexpected(Done.error());
+  return Copy;
+}
+
+} // namespace tamarack
