--- a/packages/config/src/SchemaCheck.cpp
+++ b/packages/config/src/SchemaCheck.cpp
@@ -21,6 +21,11 @@
 
 using Path = std::vector<std::string>;
 
+/// Whether \p Byte is not the first of a character in UTF-8.
+bool isContinuation(char Byte) {
+  return (static_cast<unsigned char>(Byte) & 0xC0U) == 0x80U;
+}
+
 /// valijson's context is "<root>" and then "[key]" for each step.
 Path pathOf(const valijson::ValidationResults::Error &Failure) {
   Path Steps;
@@ -84,9 +89,13 @@
 
 std::string quoted(const Json &Value) {
   std::string Text = Value.dump(-1, ' ', false, Json::error_handler_t::replace);
-  if (Text.size() > LongestQuote)
-    Text = Text.substr(0, LongestQuote) + "...";
-  return Text;
+  if (Text.size() <= LongestQuote)
+    return Text;
+  std::size_t End = LongestQuote;
+  // A cut within a character would make the whole report invalid UTF-8.
+  while (End > 0 && isContinuation(Text[End]))
+    --End;
+  return Text.substr(0, End) + "...";
 }
 
 void sortMistakes(std::vector<SettingsMistake> &Mistakes) {
--- a/packages/config/src/Settings.cpp
+++ b/packages/config/src/Settings.cpp
@@ -14,11 +14,14 @@
 using internal::quoted;
 using Mistakes = std::vector<SettingsMistake>;
 
-/// The value at \p Key, or the schema's default for it.
+/// The value at \p Key, or the schema's default for a key of the whole
+/// document; keys of its parts have none.
 Json valueAt(const Json &Document, const char *Key) {
   if (Document.contains(Key))
     return Document[Key];
-  return settingsSchema()["properties"][Key].value("default", Json());
+  const Json &Properties = settingsSchema().at("properties");
+  return Properties.contains(Key) ? Properties[Key].value("default", Json())
+                                  : Json();
 }
 
 template <typename T>
--- a/packages/config/test/OperatorDocumentTest.cpp
+++ b/packages/config/test/OperatorDocumentTest.cpp
@@ -164,6 +164,26 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AnyValueAnywhereIsReportedAndNeverThrown) {
+  const std::vector<Json> Odd = {Json(), true,          -1,      UINT64_MAX,
+                                 "x",    Json::array(), {1, 2},  Json::object(),
+                                 1e300,  {{"id", "x"}}, "\u00e9"};
+  const Json Flat = documentJson().flatten();
+  std::vector<std::string> Pointers = {
+      "",         "/exceptions/0", "/exceptions/0/scope",
+      "/history", "/history/0",    "/token",
+      "/revision"};
+  for (const auto &Leaf : Flat.items())
+    Pointers.push_back(Leaf.key());
+  for (const std::string &Pointer : Pointers)
+    for (const Json &Value : Odd) {
+      Json Document = documentJson();
+      Document["history"] = Json::array({Json::object()});
+      Document[Json::json_pointer(Pointer)] = Value;
+      BOOST_CHECK_NO_THROW(operatorDocumentFrom(Document));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(ADocumentThatIsTooLargeIsRefused) {
   Json Document = documentJson();
   for (int I = 0; I < 450; ++I) {
--- a/packages/config/test/SettingsTest.cpp
+++ b/packages/config/test/SettingsTest.cpp
@@ -81,6 +81,17 @@
   BOOST_TEST(Own.Endpoint->MemoryTokens == 400000U);
 }
 
+BOOST_AUTO_TEST_CASE(AServiceLeavesOutWhatOnlyEnginesHave) {
+  const SettingsOutcome Outcome = parseSettings(
+      changed(endpointDocument(), {{"/endpoint/kind", "service"},
+                                   {"/endpoint/repeatable", false},
+                                   {"/endpoint/memory_tokens", "(remove)"}}));
+  BOOST_TEST_REQUIRE(textOf(Outcome) == "");
+  const EndpointSettings &Endpoint = *std::get<Settings>(Outcome).Endpoint;
+  BOOST_TEST(!Endpoint.Repeatable);
+  BOOST_TEST(Endpoint.MemoryTokens == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE(Mistakes)
 
 struct Case {
@@ -159,6 +170,40 @@
   BOOST_TEST(mistakesIn(Outcome)->size() == 6U, textOf(Outcome));
 }
 
+BOOST_AUTO_TEST_CASE(ALongTextIsCutBetweenCharacters) {
+  std::string Long;
+  for (int I = 0; I < 100; ++I)
+    Long += "\u00e9";
+  for (const char *Before : {"", "x"}) {
+    const Json Report = textOf(
+        parseSettings(changed(entryDocument(), {{"/region", Before + Long}})));
+    BOOST_CHECK_NO_THROW(Report.dump());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnyValueAnywhereIsReportedAndNeverThrown) {
+  const std::vector<Json> Odd = {Json(), true,           -1,
+                                 1.5,    UINT64_MAX,     "",
+                                 "x",    Json::array(),  Json::object(),
+                                 {1, 2}, {{"host", {}}}, std::string(100, 'x')};
+  for (const Json &Document : {entryDocument(), endpointDocument()}) {
+    std::vector<std::string> Pointers = {"", "/endpoint", "/platform",
+                                         "/endpoint/at", "/endpoint/serves"};
+    const Json Flat = Document.flatten();
+    for (const auto &Leaf : Flat.items())
+      Pointers.push_back(Leaf.key());
+    for (const std::string &Pointer : Pointers)
+      for (const Json &Value : Odd) {
+        Json Changed = Document;
+        const Json::json_pointer Where(Pointer);
+        if (!Pointer.empty() && !Changed.contains(Where.parent_pointer()))
+          continue;
+        Changed[Where] = Value;
+        BOOST_CHECK_NO_THROW(parseSettings(Changed));
+      }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AFileThatIsNoJsonIsOneMistake) {
   for (const std::string Path : {"/nowhere.json", "/scripts/build"}) {
     const SettingsOutcome Outcome = loadSettings(TAMARACK_SOURCE_DIR + Path);
