Refuse a text that is not valid UTF-8 as a mistake on the command line

It was noticed only after connecting, and reported as a request that may have taken effect. Seen red by mutation: without the check "caf\xe9" as reason was accepted by the parser (CommandTest).

--- a/packages/config/include/tamarack/config/Revisions.h
+++ b/packages/config/include/tamarack/config/Revisions.h
@@ -61,7 +61,8 @@
 struct RevisionState {
   InstanceId Self;
   RevisionLimits Limits;
-  /// Whether this process watches the service for its region; see watchers().
+  /// Whether this process watches the service for its region. The caller sets
+  /// it by watchers() whenever the region's live processes change.
   bool IsWatcher = false;
   /// The document in force.
   OperatorDocument Held;
--- a/packages/ctl/src/Command.cpp
+++ b/packages/ctl/src/Command.cpp
@@ -260,6 +260,18 @@
   return Name == Row.Name;
 }
 
+/// A terminal may hand over bytes that JSON can't carry.
+Expected<CtlRequest> withValidText(Expected<CtlRequest> Request) {
+  if (!Request)
+    return Request;
+  try {
+    const std::string Ignored = Request->Body.dump();
+    return Request;
+  } catch (const Json::exception &) {
+    return refuseUsage("a text is not valid UTF-8");
+  }
+}
+
 std::string joined(const Words &Given) {
   std::string Text;
   for (const std::string &Word : Given)
@@ -282,7 +294,7 @@
     if (Arguments.size() != Row.ArgumentCount)
       return refuseUsage("usage: tamarackctl " + std::string(Row.Name) +
                          (Row.ArgumentCount > 0 ? " " : "") + Row.Arguments);
-    return Row.Parse(Arguments, Options);
+    return withValidText(Row.Parse(Arguments, Options));
   }
   return refuseUsage("no command \"" + joined(Given) +
                      "\"; see tamarackctl --help");
--- a/packages/ctl/test/CommandTest.cpp
+++ b/packages/ctl/test/CommandTest.cpp
@@ -110,6 +110,8 @@
   NoScope.Reason = "pilot";
   CtlOptions NotANumber = optionsOfAna();
   NotANumber.ExpectedRevision = "four";
+  CtlOptions BadText = Reasoned;
+  BadText.Reason = "caf\xe9";
   CtlOptions BadEnd = Reasoned;
   BadEnd.Until = "tomorrow";
   struct Case {
@@ -129,6 +131,7 @@
       {{"exception", "add", "class", "high"}, NoScope, "--customer"},
       {{"exception", "add", "speed", "9"}, Reasoned, "/setting"},
       {{"exception", "add", "class", "9"}, Reasoned, "one of high normal low"},
+      {{"exception", "add", "class", "high"}, BadText, "not valid UTF-8"},
       {{"exception", "add", "class", "low"}, BadEnd, "/until"},
   };
   for (const Case &Row : Cases) {
