--- a/packages/config/test/SettingsTest.cpp
+++ b/packages/config/test/SettingsTest.cpp
@@ -81,15 +81,16 @@
   BOOST_TEST(Own.Endpoint->MemoryTokens == 400000U);
 }
 
-BOOST_AUTO_TEST_CASE(AServiceLeavesOutWhatOnlyEnginesHave) {
-  const SettingsOutcome Outcome = parseSettings(
-      changed(endpointDocument(), {{"/endpoint/kind", "service"},
-                                   {"/endpoint/repeatable", false},
-                                   {"/endpoint/memory_tokens", "(remove)"}}));
-  BOOST_TEST_REQUIRE(textOf(Outcome) == "");
-  const EndpointSettings &Endpoint = *std::get<Settings>(Outcome).Endpoint;
+BOOST_AUTO_TEST_CASE(AServiceHasNoMemoryOfTokens) {
+  Json Document = endpointDocument();
+  Document["endpoint"].erase("memory_tokens");
+  Document["endpoint"]["kind"] = "service";
+  Document["endpoint"]["repeatable"] = false;
+  const SettingsOutcome Outcome = parseSettings(Document);
+  BOOST_REQUIRE(mistakesIn(Outcome) == nullptr);
+  const auto &Endpoint = *std::get<Settings>(Outcome).Endpoint;
+  BOOST_TEST(Endpoint.MemoryTokens == 0);
   BOOST_TEST(!Endpoint.Repeatable);
-  BOOST_TEST(Endpoint.MemoryTokens == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE(Mistakes)
--- /dev/null
+++ b/packages/gate/src/Attempts.cpp
@@ -0,0 +1,170 @@
+#include "tamarack/gate/Attempts.h"
+
+#include <iterator>
+#include <utility>
+
+namespace tamarack {
+
+std::ostream &operator<<(std::ostream &Out, const AttemptId &Id) {
+  return Out << Id.Program << '/' << Id.Call << '#' << Id.Attempt;
+}
+
+std::ostream &operator<<(std::ostream &Out, AttemptPhase Phase) {
+  switch (Phase) {
+  case AttemptPhase::Queued:
+    return Out << "queued";
+  case AttemptPhase::Sent:
+    return Out << "sent";
+  case AttemptPhase::Finished:
+    return Out << "finished";
+  case AttemptPhase::Void:
+    return Out << "void";
+  }
+  return Out;
+}
+
+std::ostream &operator<<(std::ostream &Out, AttemptAnswer::State What) {
+  switch (What) {
+  case AttemptAnswer::State::NeverSent:
+    return Out << "never sent";
+  case AttemptAnswer::State::Running:
+    return Out << "running";
+  case AttemptAnswer::State::Finished:
+    return Out << "finished";
+  case AttemptAnswer::State::Unknown:
+    return Out << "unknown";
+  }
+  return Out;
+}
+
+namespace {
+
+void change(AttemptEntry &Entry, AttemptPhase Phase, TimePoint Now) {
+  Entry.Phase = Phase;
+  Entry.Changed = Now;
+}
+
+/// Whether orders for \p Target can be admitted. Until targets were first
+/// moved on, only Self is.
+bool isAccepted(const AttemptTable &Table, Incarnation Target) {
+  const Incarnation Oldest = Table.Oldest == 0 ? Table.Self : Table.Oldest;
+  return Oldest <= Target && Target <= Table.Self;
+}
+
+/// Makes an entry void unless it was sent.
+bool makeVoid(AttemptEntry &Entry, TimePoint Now) {
+  if (Entry.Phase == AttemptPhase::Sent ||
+      Entry.Phase == AttemptPhase::Finished)
+    return false;
+  change(Entry, AttemptPhase::Void, Now);
+  return true;
+}
+
+bool isSettled(const AttemptEntry &Entry) {
+  return Entry.Phase == AttemptPhase::Finished ||
+         Entry.Phase == AttemptPhase::Void;
+}
+
+/// Accepts the present and a new target from now on.
+void advanceTarget(AttemptTable &Table, TimePoint Now) {
+  Table.Oldest = Table.Self;
+  ++Table.Self;
+  Table.SelfInUse = false;
+  Table.Advanced = Now;
+}
+
+tl::unexpected<Error> refuseVoid() {
+  return refuse(ErrorKind::Fenced, "the attempt is void", NotRun::Proved);
+}
+
+} // namespace
+
+Expected<void> admitAttempt(AttemptTable &Table, const AttemptId &Id,
+                            Incarnation Target, TimePoint Now) {
+  auto Found = Table.Entries.find(Id);
+  if (Found != Table.Entries.end() && Found->second.Phase == AttemptPhase::Void)
+    return refuseVoid();
+  if (Found != Table.Entries.end())
+    return refuse(ErrorKind::Fenced,
+                  "the attempt is known already; ask for it");
+  if (!isAccepted(Table, Target))
+    return refuse(ErrorKind::EndpointUnavailable,
+                  "the order names a target that is no longer accepted",
+                  NotRun::Proved);
+  Table.SelfInUse = Table.SelfInUse || Target == Table.Self;
+  Table.Entries[Id] = {AttemptPhase::Queued, {}, Now, Target};
+  return {};
+}
+
+Expected<void> markSent(AttemptTable &Table, const AttemptId &Id,
+                        TimePoint Now) {
+  auto Found = Table.Entries.find(Id);
+  if (Found == Table.Entries.end())
+    return refuse(ErrorKind::Fenced, "the attempt was never admitted");
+  switch (Found->second.Phase) {
+  case AttemptPhase::Queued:
+    change(Found->second, AttemptPhase::Sent, Now);
+    return {};
+  case AttemptPhase::Void:
+    return refuseVoid();
+  case AttemptPhase::Sent:
+  case AttemptPhase::Finished:
+    break;
+  }
+  return refuse(ErrorKind::Fenced, "the attempt was sent already");
+}
+
+void markFinished(AttemptTable &Table, const AttemptId &Id, std::string Answer,
+                  TimePoint Now) {
+  auto Found = Table.Entries.find(Id);
+  if (Found == Table.Entries.end() || Found->second.Phase != AttemptPhase::Sent)
+    return;
+  Found->second.Answer = std::move(Answer);
+  change(Found->second, AttemptPhase::Finished, Now);
+}
+
+Expected<void> voidAttempt(AttemptTable &Table, const AttemptId &Id,
+                           TimePoint Now) {
+  auto Found = Table.Entries.find(Id);
+  if (Found == Table.Entries.end())
+    return refuse(ErrorKind::Fenced, "the attempt was never admitted");
+  if (!makeVoid(Found->second, Now))
+    return refuse(ErrorKind::Fenced, "the attempt was sent already");
+  return {};
+}
+
+AttemptAnswer askAttempt(AttemptTable &Table, const AttemptId &Id,
+                         Incarnation Target, TimePoint Now) {
+  auto Found = Table.Entries.find(Id);
+  if (Found == Table.Entries.end()) {
+    if (!isAccepted(Table, Target))
+      return {AttemptAnswer::State::Unknown, {}};
+    Table.Entries[Id] = {AttemptPhase::Void, {}, Now, Target};
+    return {AttemptAnswer::State::NeverSent, {}};
+  }
+  AttemptEntry &Entry = Found->second;
+  if (Entry.Target != Target)
+    return {AttemptAnswer::State::Unknown, {}};
+  if (makeVoid(Entry, Now))
+    return {AttemptAnswer::State::NeverSent, {}};
+  if (Entry.Phase == AttemptPhase::Sent)
+    return {AttemptAnswer::State::Running, {}};
+  return {AttemptAnswer::State::Finished, Entry.Answer.value_or("")};
+}
+
+std::size_t forgetAttempts(AttemptTable &Table, TimePoint Now,
+                           Duration Retention) {
+  if (Table.SelfInUse && Now - Table.Advanced >= Retention)
+    advanceTarget(Table, Now);
+  std::size_t Forgotten = 0;
+  for (auto Each = Table.Entries.begin(); Each != Table.Entries.end();) {
+    const AttemptEntry &Entry = Each->second;
+    const bool Kept = !isSettled(Entry) || Now - Entry.Changed < Retention ||
+                      isAccepted(Table, Entry.Target);
+    Each = Kept ? std::next(Each) : Table.Entries.erase(Each);
+    Forgotten += Kept ? 0 : 1;
+  }
+  return Forgotten;
+}
+
+} // namespace tamarack
