Test admission, and drop a floor rule that a mutation showed idle

One mutation survived: starting the class below its reserve first. The places kept open for waiting classes already give the floor, so the rule is removed.

--- a/packages/gate/include/tamarack/gate/Admission.h
+++ b/packages/gate/include/tamarack/gate/Admission.h
@@ -8,10 +8,11 @@
 ///   for (const AdmissionAction &Action : onArrival(State, Call, Now))
 ///     std::visit(Carrier, Action);
 ///
-/// Order: a class with an unfilled reserve goes first; then the higher class;
-/// within a class the program with the least attained service. Waiting counts
-/// as a discount in both, hence no call starves. A call that would miss its
-/// deadline is refused on arrival as not run, with a time to come back.
+/// Order: running calls are reserved for classes; among the calls for which
+/// that leaves room, the higher class goes first, and within a class the
+/// program with the least attained service. Waiting counts as a discount in
+/// both, hence no call starves. A call that would miss its deadline is refused
+/// on arrival as not run, with a time to come back.
 #ifndef TAMARACK_GATE_ADMISSION_H
 #define TAMARACK_GATE_ADMISSION_H
 
--- a/packages/gate/src/Admission.cpp
+++ b/packages/gate/src/Admission.cpp
@@ -37,9 +37,8 @@
 }
 
 /// Refuses a new program for which the programs under way leave no memory.
-std::optional<RefuseCall> refuseCrowdedOut(AdmissionState &State,
-                                           const QueuedCall &Call,
-                                           TimePoint Now) {
+std::optional<RefuseCall>
+refuseCrowdedOut(AdmissionState &State, const QueuedCall &Call, TimePoint Now) {
   if (Call.Attained != 0 || internal::fitsWorkingSet(State, Call, Now))
     return std::nullopt;
   State.CrowdedOut[Call.Class] = Now;
--- a/packages/gate/src/AdmissionQueue.cpp
+++ b/packages/gate/src/AdmissionQueue.cpp
@@ -61,17 +61,6 @@
   return First;
 }
 
-/// The first call of the highest class that has less than its reserve running.
-const QueuedCall *firstBelowReserve(const AdmissionState &State,
-                                    TimePoint Now) {
-  for (CallClass Class : AllClasses) {
-    const bool Below = State.RunningOf[Class] < reservedCalls(State, Class);
-    if (Below && hasRoom(State, Class) && !State.Waiting[Class].empty())
-      return firstOf(State, Class, Now);
-  }
-  return nullptr;
-}
-
 const QueuedCall *firstByRank(const AdmissionState &State, TimePoint Now) {
   const QueuedCall *First = nullptr;
   for (CallClass Class : AllClasses) {
@@ -231,9 +220,7 @@
 }
 
 std::optional<AttemptId> nextCall(const AdmissionState &State, TimePoint Now) {
-  const QueuedCall *First = firstBelowReserve(State, Now);
-  if (!First)
-    First = firstByRank(State, Now);
+  const QueuedCall *First = firstByRank(State, Now);
   // A large call at the head waits for memory and is not passed by smaller
   // ones, which could keep it waiting for ever.
   if (!First || !fitsMemory(State, *First) || !fitsBacklog(State, *First))
--- /dev/null
+++ b/packages/gate/test/AdmissionTest.cpp
@@ -0,0 +1,331 @@
+#include "tamarack/gate/Admission.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace tamarack;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+TimePoint at(int Second) { return TimePoint(seconds(Second)); }
+
+QueuedCall call(const std::string &Name, CallClass Class,
+                TokenCount Attained = 1) {
+  QueuedCall Call;
+  Call.Id = {ProgramId(Name), CallId("call"), 1};
+  Call.Class = Class;
+  Call.Attained = Attained;
+  Call.PromptTokens = 100;
+  Call.CachedTokens = 100;
+  Call.MaxTokens = 100;
+  Call.Arrived = at(0);
+  Call.Deadline = at(3600);
+  return Call;
+}
+
+AdmissionLimits limits(std::size_t Running) {
+  AdmissionLimits Limits;
+  Limits.InitialRunning = Running;
+  Limits.MinRunning = 1;
+  return Limits;
+}
+
+/// "+a" for a start, "-a" for a refusal and "!a" for a stop.
+std::string told(const AdmissionActions &Actions) {
+  std::string Text;
+  for (const AdmissionAction &Each : Actions) {
+    if (const auto *Start = std::get_if<StartCall>(&Each))
+      Text += "+" + Start->Id.Program.text();
+    if (const auto *Refuse = std::get_if<RefuseCall>(&Each))
+      Text += "-" + Refuse->Id.Program.text();
+    if (const auto *Stop = std::get_if<StopCall>(&Each))
+      Text += "!" + Stop->Id.Program.text();
+  }
+  return Text;
+}
+
+Error refusalOf(const AdmissionActions &Actions) {
+  BOOST_REQUIRE(Actions.size() == 1U);
+  const auto *Refuse = std::get_if<RefuseCall>(&Actions[0]);
+  BOOST_REQUIRE(Refuse != nullptr);
+  return Refuse->Failure;
+}
+
+std::string arrive(AdmissionState &State, const QueuedCall &Call,
+                   TimePoint Now = at(0)) {
+  return told(onArrival(State, Call, Now));
+}
+
+std::string finish(AdmissionState &State, const std::string &Name,
+                   TimePoint Now) {
+  return told(onFinished(State, call(Name, CallClass::Normal).Id, 50, Now));
+}
+
+/// A state in which \p Count calls of \p Class run, named r0, r1, ...
+AdmissionState running(AdmissionLimits Limits, CallClass Class, int Count) {
+  AdmissionState State(Limits);
+  for (int Number = 0; Number < Count; ++Number)
+    arrive(State, call("r" + std::to_string(Number), Class));
+  return State;
+}
+
+void report(AdmissionState &State, milliseconds TokenTime) {
+  for (std::size_t Count = 0; Count < State.Limits.ReviewSamples; ++Count)
+    onTokenTime(State, TokenTime, at(1));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Admission)
+
+BOOST_AUTO_TEST_SUITE(Classes)
+
+BOOST_AUTO_TEST_CASE(HighFindsItsReserveOpen) {
+  AdmissionState State = running(limits(8), CallClass::Normal, 8);
+  BOOST_TEST(State.Running.size() == 6U);
+  BOOST_TEST(arrive(State, call("lift", CallClass::High)) == "+lift");
+}
+
+BOOST_AUTO_TEST_CASE(LowGetsItsFloorBehindAnyNumberOfHigherCalls) {
+  AdmissionState State = running(limits(8), CallClass::High, 20);
+  arrive(State, call("bulk", CallClass::Low));
+  BOOST_TEST(finish(State, "r0", at(1)) == "+bulk");
+}
+
+BOOST_AUTO_TEST_CASE(TheHigherClassGoesFirstOtherwise) {
+  AdmissionState State = running(limits(4), CallClass::High, 4);
+  for (CallClass Class : {CallClass::Low, CallClass::Normal})
+    State.Limits.ReservedShare[Class] = 0;
+  arrive(State, call("low", CallClass::Low));
+  arrive(State, call("normal", CallClass::Normal));
+  arrive(State, call("high", CallClass::High));
+  BOOST_TEST(finish(State, "r0", at(1)) == "+high");
+  BOOST_TEST(finish(State, "r1", at(1)) == "+normal");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(OrderWithinAClass)
+
+BOOST_AUTO_TEST_CASE(IsByLeastAttainedServiceUntilWaitingMakesUpForIt) {
+  struct Row {
+    int Second;
+    const char *Started;
+  };
+  // 500 tokens a second make up for 9,000 more within 18 seconds.
+  for (const Row &Each : {Row{17, "+fresh"}, Row{19, "+served"}}) {
+    AdmissionState State = running(limits(1), CallClass::Normal, 1);
+    State.Limits.ReservedShare = {};
+    State.RunningLimit = 1;
+    arrive(State, call("r0", CallClass::Normal));
+    arrive(State, call("served", CallClass::Normal, 10'000));
+    QueuedCall Fresh = call("fresh", CallClass::Normal, 1'000);
+    Fresh.Arrived = at(Each.Second);
+    arrive(State, Fresh, at(Each.Second));
+    const std::string Started = finish(
+        State, State.Running.begin()->first.Program.text(), at(Each.Second));
+    BOOST_TEST(Started == Each.Started,
+               "after " << Each.Second << " s: " << Started);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LetsAWaitingLowCallPassNewerHigherOnes) {
+  AdmissionState State(limits(1));
+  State.Limits.ReservedShare = {};
+  arrive(State, call("r0", CallClass::High));
+  arrive(State, call("low", CallClass::Low));
+  QueuedCall Newer = call("high", CallClass::High);
+  Newer.Arrived = at(61);
+  arrive(State, Newer, at(61));
+  BOOST_TEST(finish(State, "r0", at(61)) == "+low");
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotLetSmallCallsPassOneThatWaitsForMemory) {
+  AdmissionState State = running(limits(8), CallClass::Normal, 1);
+  State.Limits.MemoryTokens = 1'000;
+  QueuedCall Large = call("a-large", CallClass::Normal);
+  Large.PromptTokens = Large.CachedTokens = 850;
+  BOOST_TEST(arrive(State, Large) == "");
+  BOOST_TEST(arrive(State, call("small", CallClass::Normal)) == "");
+  BOOST_TEST(finish(State, "r0", at(1)) == "+a-large");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ARefusal)
+
+BOOST_AUTO_TEST_CASE(ComesAtOnceWithItsReasonAndProof) {
+  AdmissionState Busy = running(limits(4), CallClass::Normal, 60);
+  struct Row {
+    const char *Name;
+    ErrorKind Kind;
+    void (*Change)(AdmissionState &, QueuedCall &);
+  };
+  const Row Rows[] = {
+      {"deadline", ErrorKind::DeadlineUnreachable,
+       [](AdmissionState &, QueuedCall &Call) { Call.Deadline = at(5); }},
+      {"new program", ErrorKind::Overloaded,
+       [](AdmissionState &, QueuedCall &Call) { Call.Attained = 0; }},
+      {"queue full", ErrorKind::Overloaded,
+       [](AdmissionState &State, QueuedCall &) {
+         State.Limits.QueueBound = 40;
+       }},
+      {"too large", ErrorKind::LimitReached,
+       [](AdmissionState &State, QueuedCall &Call) {
+         Call.PromptTokens = State.Limits.MemoryTokens;
+       }},
+      {"leaving", ErrorKind::Leaving,
+       [](AdmissionState &State, QueuedCall &) { onDrain(State, at(0)); }},
+  };
+  for (const Row &Each : Rows) {
+    BOOST_TEST_CONTEXT(Each.Name) {
+      AdmissionState State = Busy;
+      QueuedCall Call = call("new", CallClass::Normal);
+      Each.Change(State, Call);
+      const Error Failure = refusalOf(onArrival(State, Call, at(0)));
+      BOOST_TEST(Failure.Kind == Each.Kind);
+      BOOST_TEST((Failure.Proof == NotRun::Proved));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NamesATimeToComeBackThatGrowsWithTheQueue) {
+  std::chrono::seconds Last(0);
+  for (int Calls : {20, 60, 180}) {
+    AdmissionState State = running(limits(4), CallClass::Normal, Calls);
+    const Error Failure =
+        refusalOf(onArrival(State, call("new", CallClass::Normal, 0), at(0)));
+    BOOST_REQUIRE(Failure.RetryAfter.has_value());
+    BOOST_TEST(Failure.RetryAfter->count() > Last.count(),
+               Calls << " calls: " << Failure.RetryAfter->count() << " s");
+    Last = *Failure.RetryAfter;
+  }
+}
+
+BOOST_AUTO_TEST_CASE(OfAKnownAttemptProvesNothing) {
+  AdmissionState State = running(limits(8), CallClass::Normal, 1);
+  const Error Failure =
+      refusalOf(onArrival(State, call("r0", CallClass::Normal), at(0)));
+  BOOST_TEST(Failure.Kind == ErrorKind::Fenced);
+  BOOST_TEST((Failure.Proof == NotRun::Unproved));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ProgramsUnderWay)
+
+BOOST_AUTO_TEST_CASE(KeepNewOnesOutOfTheirMemory) {
+  struct Row {
+    const char *Name;
+    PerClass<TokenCount> Paused;
+    CallClass Class;
+    TokenCount Attained;
+    const char *Told;
+  };
+  // 9,000 tokens may be under way: 2,250, 900 and 450 of them reserved.
+  const Row Rows[] = {
+      {"room", {{3'000, 3'000, 0}}, CallClass::Normal, 0, "+x"},
+      {"others' reserve", {{0, 6'200, 0}}, CallClass::Normal, 0, "-x"},
+      {"own reserve", {{0, 8'900, 0}}, CallClass::High, 0, "+x"},
+      {"under way", {{0, 8'900, 0}}, CallClass::Normal, 1, "+x"},
+      {"floor", {{8'900, 0, 0}}, CallClass::Low, 0, "+x"},
+  };
+  for (const Row &Each : Rows) {
+    BOOST_TEST_CONTEXT(Each.Name) {
+      AdmissionState State(limits(8));
+      State.Limits.MemoryTokens = 10'000;
+      onPausedTokens(State, Each.Paused);
+      BOOST_TEST(arrive(State, call("x", Each.Class, Each.Attained)) ==
+                 Each.Told);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LeaveRoomToARefusedHigherClassFirst) {
+  AdmissionState State(limits(8));
+  State.Limits.MemoryTokens = 10'000;
+  onPausedTokens(State, {{7'600, 0, 0}});
+  BOOST_TEST(arrive(State, call("high", CallClass::High, 0)) == "-high");
+  onPausedTokens(State, {{5'000, 1'000, 0}});
+  BOOST_TEST(arrive(State, call("x", CallClass::Normal, 0), at(4)) == "-x");
+  BOOST_TEST(arrive(State, call("x", CallClass::Normal, 0), at(5)) == "+x");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(TheEngine)
+
+BOOST_AUTO_TEST_CASE(IsGivenNoMorePrefillThanABoundedBacklog) {
+  AdmissionState State(limits(8));
+  auto Uncached = [](const std::string &Name, CallClass Class) {
+    QueuedCall Call = call(Name, Class);
+    Call.PromptTokens = 3'000; // 300 ms
+    Call.CachedTokens = 0;
+    return Call;
+  };
+  BOOST_TEST(arrive(State, Uncached("a", CallClass::Normal)) == "+a");
+  BOOST_TEST(arrive(State, Uncached("b", CallClass::Normal)) == "");
+  BOOST_TEST(arrive(State, Uncached("lift", CallClass::High)) == "+lift");
+  onFirstToken(State, Uncached("a", CallClass::Normal).Id, at(1));
+  const AdmissionActions Freed =
+      onFirstToken(State, Uncached("lift", CallClass::High).Id, at(1));
+  BOOST_TEST(told(Freed) == "+b");
+}
+
+BOOST_AUTO_TEST_CASE(IsFilledByTheTimeBetweenTokens) {
+  struct Row {
+    int Milliseconds;
+    std::size_t Limit;
+  };
+  for (const Row &Each : {Row{40, 21}, Row{61, 21}, Row{63, 20}, Row{72, 20},
+                          Row{73, 18}, Row{200, 18}}) {
+    AdmissionState State = running(limits(20), CallClass::Normal, 40);
+    report(State, milliseconds(Each.Milliseconds));
+    BOOST_TEST(State.RunningLimit == Each.Limit,
+               Each.Milliseconds << " ms: " << State.RunningLimit);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(IsNotRelievedTwiceBeforeTheFirstReliefShows) {
+  AdmissionState State = running(limits(20), CallClass::High, 40);
+  report(State, milliseconds(200));
+  report(State, milliseconds(200));
+  BOOST_TEST(State.RunningLimit == 18U);
+}
+
+BOOST_AUTO_TEST_CASE(IsNotTakenForFasterWhileItIsIdle) {
+  AdmissionState State = running(limits(20), CallClass::High, 2);
+  report(State, milliseconds(10));
+  BOOST_TEST(State.RunningLimit == 20U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Leaving)
+
+BOOST_AUTO_TEST_CASE(HandsBackTheQueueAndLetsRunningCallsFinish) {
+  AdmissionState State = running(limits(2), CallClass::High, 4);
+  const std::size_t Running = State.Running.size();
+  BOOST_TEST(told(onDrain(State, at(1))) == "-r2-r3");
+  BOOST_TEST(State.Running.size() == Running);
+  BOOST_TEST(!isDrained(State));
+  BOOST_TEST(finish(State, "r0", at(2)) == "");
+  BOOST_TEST(finish(State, "r1", at(2)) == "");
+  BOOST_TEST(isDrained(State));
+}
+
+BOOST_AUTO_TEST_CASE(OfACallerDropsAWaitingCallAndStopsARunningOne) {
+  AdmissionState State = running(limits(2), CallClass::High, 3);
+  BOOST_TEST(told(onCancel(State, call("r2", CallClass::High).Id, at(1))) ==
+             "-r2");
+  BOOST_TEST(told(onCancel(State, call("r0", CallClass::High).Id, at(1))) ==
+             "!r0");
+  BOOST_TEST(report(State).Waiting == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
