--- a/packages/daemon/src/EndpointGate.cpp
+++ b/packages/daemon/src/EndpointGate.cpp
@@ -99,7 +99,7 @@
   EngineProgress Progress;
   Progress.FirstToken = [this, &Order] {
     std::lock_guard<std::mutex> Lock(Mutex);
-    onFirstToken(Admission, Order.Id, Time.now());
+    carryOut(onFirstToken(Admission, Order.Id, Time.now()));
   };
   Progress.TokenTime = [this](Duration Between) {
     std::lock_guard<std::mutex> Lock(Mutex);
--- a/packages/gate/include/tamarack/gate/Admission.h
+++ b/packages/gate/include/tamarack/gate/Admission.h
@@ -2,7 +2,8 @@
 ///
 /// Engines admit whatever comes, so calls wait here, and the engine is kept
 /// just full enough to meet its target time between tokens. Feed every event
-/// to the state and carry out the returned actions in order:
+/// to the state and carry out the returned actions in order; an action that is
+/// dropped leaves its call waiting for ever:
 ///
 ///   AdmissionState State{AdmissionLimits{}};
 ///   for (const AdmissionAction &Action : onArrival(State, Call, Now))
@@ -179,38 +180,39 @@
 
 /// A call has come: it starts, waits or is refused at once. A call that is
 /// already waiting or running is refused as Fenced, without proof.
-AdmissionActions onArrival(AdmissionState &State, const QueuedCall &Call,
-                           TimePoint Now);
+[[nodiscard]] AdmissionActions onArrival(AdmissionState &State,
+                                         const QueuedCall &Call, TimePoint Now);
 
 /// The first token of a running call has come.
-AdmissionActions onFirstToken(AdmissionState &State, const AttemptId &Id,
-                              TimePoint Now);
+[[nodiscard]] AdmissionActions onFirstToken(AdmissionState &State,
+                                            const AttemptId &Id, TimePoint Now);
 
 /// The tokens in caches of paused programs that are expected back, as
 /// expectedBackTokens tells. To be reported before every arrival.
 void onPausedTokens(AdmissionState &State, const PerClass<TokenCount> &Tokens);
 
 /// A time between two tokens of one stream was observed.
-AdmissionActions onTokenTime(AdmissionState &State, Duration Between,
-                             TimePoint Now);
+[[nodiscard]] AdmissionActions onTokenTime(AdmissionState &State,
+                                           Duration Between, TimePoint Now);
 
 /// A running call has ended, whole or not, with \p Produced tokens. Frees its
 /// place.
-AdmissionActions onFinished(AdmissionState &State, const AttemptId &Id,
-                            TokenCount Produced, TimePoint Now);
+[[nodiscard]] AdmissionActions onFinished(AdmissionState &State,
+                                          const AttemptId &Id,
+                                          TokenCount Produced, TimePoint Now);
 
 /// To be called every few hundred milliseconds: refuses waiting calls whose
 /// deadline has become unreachable since they arrived.
-AdmissionActions onTick(AdmissionState &State, TimePoint Now);
+[[nodiscard]] AdmissionActions onTick(AdmissionState &State, TimePoint Now);
 
 /// The caller has gone. A waiting call is dropped as not run; a running one is
 /// stopped.
-AdmissionActions onCancel(AdmissionState &State, const AttemptId &Id,
-                          TimePoint Now);
+[[nodiscard]] AdmissionActions onCancel(AdmissionState &State,
+                                        const AttemptId &Id, TimePoint Now);
 
 /// The endpoint leaves: waiting calls are handed back as not run, new ones are
 /// refused, running ones finish.
-AdmissionActions onDrain(AdmissionState &State, TimePoint Now);
+[[nodiscard]] AdmissionActions onDrain(AdmissionState &State, TimePoint Now);
 
 /// Whether the endpoint has been drained to the last call.
 bool isDrained(const AdmissionState &State);
--- a/packages/gate/test/AdmissionHistoryTest.cpp
+++ b/packages/gate/test/AdmissionHistoryTest.cpp
@@ -88,7 +88,7 @@
 
   void check(const AdmissionActions &Actions) {
     for (const AdmissionAction &Each : Actions) {
-      if (const auto *Start = std::get_if<StartCall>(&Each))
+      if (const auto *Start = std::get_if<SendCall>(&Each))
         start(Start->Id);
       if (const auto *Refuse = std::get_if<RefuseCall>(&Each))
         refuseOnce(*Refuse);
--- a/packages/gate/test/AdmissionTest.cpp
+++ b/packages/gate/test/AdmissionTest.cpp
@@ -37,7 +37,7 @@
 std::string told(const AdmissionActions &Actions) {
   std::string Text;
   for (const AdmissionAction &Each : Actions) {
-    if (const auto *Start = std::get_if<StartCall>(&Each))
+    if (const auto *Start = std::get_if<SendCall>(&Each))
       Text += "+" + Start->Id.Program.text();
     if (const auto *Refuse = std::get_if<RefuseCall>(&Each))
       Text += "-" + Refuse->Id.Program.text();
@@ -74,7 +74,7 @@
 
 void report(AdmissionState &State, milliseconds TokenTime) {
   for (std::size_t Count = 0; Count < State.Limits.ReviewSamples; ++Count)
-    onTokenTime(State, TokenTime, at(1));
+    told(onTokenTime(State, TokenTime, at(1)));
 }
 
 } // namespace
@@ -178,7 +178,9 @@
          Call.PromptTokens = State.Limits.MemoryTokens;
        }},
       {"leaving", ErrorKind::Leaving,
-       [](AdmissionState &State, QueuedCall &) { onDrain(State, at(0)); }},
+       [](AdmissionState &State, QueuedCall &) {
+         told(onDrain(State, at(0)));
+       }},
   };
   for (const Row &Each : Rows) {
     BOOST_TEST_CONTEXT(Each.Name) {
@@ -269,7 +271,7 @@
   BOOST_TEST(arrive(State, Uncached("a", CallClass::Normal)) == "+a");
   BOOST_TEST(arrive(State, Uncached("b", CallClass::Normal)) == "");
   BOOST_TEST(arrive(State, Uncached("lift", CallClass::High)) == "+lift");
-  onFirstToken(State, Uncached("a", CallClass::Normal).Id, at(1));
+  told(onFirstToken(State, Uncached("a", CallClass::Normal).Id, at(1)));
   const AdmissionActions Freed =
       onFirstToken(State, Uncached("lift", CallClass::High).Id, at(1));
   BOOST_TEST(told(Freed) == "+b");
