Test what counts as expected back

A mutation that left evicted programs out of the working set had survived; it is red now, as are pauses that are not learned.

--- a/packages/gate/test/RetentionTest.cpp
+++ b/packages/gate/test/RetentionTest.cpp
@@ -89,4 +89,38 @@
   }
 }
 
+BOOST_AUTO_TEST_SUITE(ProgramsExpectedBack)
+
+BOOST_AUTO_TEST_CASE(CountWhileNotAwayForLongAndWhenEvictedToo) {
+  // Expected after 20 s without a hint, so away for good after 80 s.
+  CacheLedger Ledger = ledgerOf({{"a", 0, 0}, {"b", 0, 60}});
+  RetentionSettings Settings;
+  auto Expected = [&](int Second) {
+    return expectedBackTokens(Ledger, Settings, at(Second))[CallClass::Normal];
+  };
+  BOOST_TEST(Expected(80) == 200U);
+  BOOST_TEST(Expected(81) == 100U);
+  Settings.MemoryTokens = 150;
+  BOOST_TEST(released(makeRoom(Ledger, Settings, 0, at(50))) == "a");
+  Ledger.Entries.erase(ProgramId("a"));
+  BOOST_TEST(Expected(50) == 200U);
+  BOOST_TEST(onProgramEnded(Ledger, ProgramId("a"), at(51)).empty());
+  BOOST_TEST(Expected(51) == 100U);
+}
+
+BOOST_AUTO_TEST_CASE(ComeBackAfterTheMeanOfPausesSeen) {
+  CacheLedger Ledger;
+  Ledger.MeanPause = seconds(20);
+  for (int Round = 0; Round < 200; ++Round) {
+    const ProgramId Program(std::to_string(Round));
+    onUse(Ledger, Program, InstanceId("entry-1"), 100, at(0));
+    onUseEnded(Ledger, Program, 100, at(0));
+    onCallQueued(Ledger, Program, at(40));
+  }
+  BOOST_TEST(Ledger.MeanPause.count() >= Duration(seconds(39)).count());
+  BOOST_TEST(Ledger.MeanPause.count() <= Duration(seconds(40)).count());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
