Release engine memory of programs that are gone

Cause: the cache ledger was not fed, so memory was only freed when an owner sent a release. The endpoint process now keeps the ledger on a thread of its own, lists the engine's cache, and asks owners whether programs are alive; a program that was idle for longer than the operators' time to live counts as gone. Links of gone members that the platform still lists are tried again, and a lost link suspects a member at once.

Ruled out: trusting the engine's events alone, which come late and with gaps.

--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -17,6 +17,7 @@
 
 using namespace internal;
 
+const CallLimits AskLimits{std::chrono::seconds(2), std::chrono::seconds(2)};
 constexpr Duration DrainPoll = std::chrono::milliseconds(20);
 
 /// Random numbers from the system, for ids that must never come twice.
@@ -145,6 +146,9 @@
   void buildEndpoint();
   void buildOperators(const Key &Secret);
   void addParts();
+  /// Asks the last known owner, or else any live entry of the region.
+  std::optional<bool> askOwner(const ProgramId &Program,
+                               const InstanceId &LastOwner);
   std::vector<CounterValue> counters() const;
   Expected<void> start();
   void stop();
@@ -197,13 +201,28 @@
         return Requests->call(Order,
                               [&Part](const CallPart &Piece) { Part(Piece); });
       });
+  Server.handle<AliveOrder>(
+      [this](const AliveOrder &Order) -> Expected<AliveReply> {
+        const CustomerId Customer(
+            Order.Program.text().substr(0, Order.Program.text().find('~')));
+        Scope Asked;
+        Asked.Customer = Customer;
+        const auto Alive =
+            Requests->isAlive(Order, Config.rulesFor(Asked).CacheTimeToLive);
+        if (!Alive)
+          return tl::make_unexpected(Alive.error());
+        return AliveReply{*Alive};
+      });
   Server.handle<ProgramOrder>(
       [this](const ProgramOrder &Order) { return Requests->program(Order); });
 }
 
 void Daemon::Impl::buildEndpoint() {
-  Gate = std::make_unique<EndpointGate>(*Own.Endpoint, Life,
-                                        admissionOf(*Own.Endpoint), Time);
+  Gate = std::make_unique<EndpointGate>(
+      *Own.Endpoint, Life, admissionOf(*Own.Endpoint), Time,
+      [this](const ProgramId &Program, const InstanceId &LastOwner) {
+        return askOwner(Program, LastOwner);
+      });
   Network.setLoadSource([this] { return Gate->load(); });
   LinkServer &Server = Network.server();
   Server.handleStream<ExecuteOrder>(
@@ -220,6 +239,24 @@
   });
 }
 
+std::optional<bool> Daemon::Impl::askOwner(const ProgramId &Program,
+                                           const InstanceId &LastOwner) {
+  std::vector<InstanceId> Entries;
+  if (!LastOwner.empty())
+    Entries.push_back(LastOwner);
+  for (const Member &Entry :
+       membersIn(Network.members(), MemberState::Live, Role::Entry, Own.Region))
+    Entries.push_back(Entry.Instance);
+  for (const InstanceId &Entry : Entries) {
+    const auto Link = Network.link(Entry);
+    if (!Link)
+      continue;
+    if (const auto Reply = Link->call(AliveOrder{Program, 0}, AskLimits))
+      return Reply->Alive;
+  }
+  return std::nullopt;
+}
+
 void Daemon::Impl::buildOperators(const Key &Secret) {
   OperatedParts Parts{Network,        Config,
                       Measured,       Service,
--- a/packages/daemon/src/EndpointGate.cpp
+++ b/packages/daemon/src/EndpointGate.cpp
@@ -33,9 +33,16 @@
 } // namespace
 
 EndpointGate::EndpointGate(EndpointSettings Endpoint, Incarnation Life,
-                           AdmissionLimits Limits, const Clock &Time)
-    : Client(std::move(Endpoint), Time), Time(Time), Admission(Limits) {
+                           AdmissionLimits Limits, const Clock &Time,
+                           OwnerQuestion Ask)
+    : Client(Endpoint, Time), Time(Time), Admission(Limits) {
   Attempts.Self = Life;
+  if (Endpoint.Kind == "engine") {
+    CacheKeeperSettings Kept;
+    Kept.Retention.MemoryTokens = Limits.MemoryTokens;
+    Cache = std::make_unique<CacheKeeper>(Client, Kept, Time, std::move(Ask));
+    Cache->start();
+  }
   Housekeeper = std::thread([this] { keepHouse(); });
 }
 
@@ -68,9 +75,10 @@
       !Admitted)
     return Admitted;
   Tickets[Order.Id] = Ticket();
+  const TokenCount Cached = Cache ? Cache->cached(Order.Id.Program) : 0;
   carryOut(onArrival(Admission,
                      {Order.Id, Order.Class, Order.Attained, Order.PromptTokens,
-                      0, Order.MaxTokens, Now, Now + Order.Remaining},
+                      Cached, Order.MaxTokens, Now, Now + Order.Remaining},
                      Now));
   Changed.wait(Lock, [this, &Order] {
     const Ticket &Own = Tickets[Order.Id];
@@ -106,7 +114,12 @@
     carryOut(onTokenTime(Admission, Between, Time.now()));
   };
   Progress.Part = [&Part](const CallPart &Piece) { Part(Piece); };
-  return Client.runChat(Order, Progress);
+  Cache->onCallSent(Order, Order.PromptTokens);
+  auto Answer = Client.runChat(Order, Progress);
+  const TokenCount Left =
+      Answer ? Answer->Use.Prompt + Answer->Use.Completion : 0;
+  Cache->onCallEnded(Order.Id.Program, Left);
+  return Answer;
 }
 
 void EndpointGate::finish(const AttemptId &Id,
@@ -152,15 +165,10 @@
 }
 
 void EndpointGate::release(const ReleaseOrder &Order) {
-  for (const ProgramId &Program : Order.Programs) {
-    if (const auto Done = Client.releaseCache(Program); !Done) {
-      spdlog::warn("endpoint: cache of {} was not released: {}", Program.text(),
-                   Done.error().Message);
-      continue;
-    }
-    std::lock_guard<std::mutex> Lock(Mutex);
-    ++Counts.CacheReleased;
-  }
+  if (!Cache)
+    return;
+  for (const ProgramId &Program : Order.Programs)
+    Cache->onGone(Program);
 }
 
 EndpointLoad EndpointGate::load() const {
@@ -174,7 +182,9 @@
 
 GateCounts EndpointGate::counts() const {
   std::lock_guard<std::mutex> Lock(Mutex);
-  return Counts;
+  GateCounts Now = Counts;
+  Now.CacheReleased = Cache ? Cache->released() : 0;
+  return Now;
 }
 
 void EndpointGate::drain() {
--- a/packages/daemon/src/EndpointGate.h
+++ b/packages/daemon/src/EndpointGate.h
@@ -7,6 +7,7 @@
 #ifndef TAMARACK_DAEMON_ENDPOINTGATE_H
 #define TAMARACK_DAEMON_ENDPOINTGATE_H
 
+#include "CacheKeeper.h"
 #include "EndpointClient.h"
 #include "tamarack/gate/Admission.h"
 
@@ -30,7 +31,7 @@
 class EndpointGate {
 public:
   EndpointGate(EndpointSettings Endpoint, Incarnation Life,
-               AdmissionLimits Limits, const Clock &Time);
+               AdmissionLimits Limits, const Clock &Time, OwnerQuestion Ask);
   ~EndpointGate();
 
   Expected<ExecuteReply>
@@ -64,6 +65,8 @@
 
   EndpointClient Client;
   const Clock &Time;
+  /// Null beside plain services, which hold no cache.
+  std::unique_ptr<CacheKeeper> Cache;
 
   mutable std::mutex Mutex;
   std::condition_variable Changed;
--- a/packages/daemon/src/Peers.cpp
+++ b/packages/daemon/src/Peers.cpp
@@ -159,14 +159,26 @@
 void Peers::openLinks() {
   if (Settings.Self.Kind != Role::Entry)
     return;
-  std::vector<InstanceId> Wanted;
-  for (const Role Kind : {Role::Entry, Role::Endpoint})
-    for (const Member &Known : membersIn(members(), MemberState::Leaving, Kind))
-      if (Known.Instance != Settings.Self.Instance)
-        Wanted.push_back(Known.Instance);
-  for (const InstanceId &Instance : Wanted)
-    if (const auto Opened = link(Instance))
-      Opened->open();
+  std::vector<Member> Wanted;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Wanted = membersToContact(Table);
+  }
+  for (const Member &Known : Wanted) {
+    const auto Opened = link(Known.Instance);
+    if (!Opened)
+      continue;
+    noteLink(Known.Instance, Opened->isOpen());
+    Opened->open();
+  }
+}
+
+void Peers::noteLink(const InstanceId &Instance, bool IsOpen) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  bool &WasOpen = OpenLinks[Instance];
+  if (WasOpen && !IsOpen)
+    Table = onLinkLost(std::move(Table), Instance, Time.now());
+  WasOpen = IsOpen;
 }
 
 std::shared_ptr<LinkClient> Peers::link(const InstanceId &Instance) {
--- a/packages/daemon/src/Peers.h
+++ b/packages/daemon/src/Peers.h
@@ -83,6 +83,8 @@
   void keepHouse();
   void readList();
   void openLinks();
+  /// Suspects a member whose link was open and is not any more.
+  void noteLink(const InstanceId &Instance, bool IsOpen);
   void noteLoad(const InstanceId &Instance, const EndpointLoad &Load);
   bool isOwn(const CopyPlace &At) const;
 
@@ -106,6 +108,7 @@
   std::function<void(PeerState &)> StateSource;
   std::function<void(const PeerState &)> StateListener;
   std::map<InstanceId, PeerState> LastStates;
+  std::map<InstanceId, bool> OpenLinks;
   bool Leaving = false;
   bool Stopping = false;
   std::condition_variable Wake;
--- a/packages/daemon/src/Router.cpp
+++ b/packages/daemon/src/Router.cpp
@@ -10,6 +10,7 @@
 /// How long a request waits for a change of owner before it is refused.
 constexpr Duration OwnerChangeLimit = std::chrono::seconds(10);
 constexpr Duration ForwardGrace = std::chrono::seconds(4);
+constexpr Duration AliveLimit = std::chrono::seconds(1);
 constexpr Duration ProgramLimit = std::chrono::seconds(5);
 
 /// Whether another try may find the owner. It is safe: the owner recognises
@@ -97,5 +98,17 @@
       });
 }
 
+Expected<bool> Router::isAlive(AliveOrder Order, Duration IdleLimit) {
+  return route<bool>(
+      Order.Program, Order.Hops, Time.now() + AliveLimit,
+      [&] { return Programs.isAlive(Order.Program, IdleLimit); },
+      [&](LinkClient &Link) {
+        AliveOrder Sent = Order;
+        ++Sent.Hops;
+        return Link.call(Sent, {AliveLimit, AliveLimit})
+            .map([](const AliveReply &Reply) { return Reply.Alive; });
+      });
+}
+
 } // namespace internal
 } // namespace tamarack
--- a/packages/daemon/src/Router.h
+++ b/packages/daemon/src/Router.h
@@ -18,6 +18,7 @@
 
   Expected<CallReply> call(CallOrder Order, const PartSink &OnPart);
   Expected<ProgramReport> program(ProgramOrder Order);
+  Expected<bool> isAlive(AliveOrder Order, Duration IdleLimit);
 
 private:
   /// Runs \p Here on this entry or \p There at the owner, and tries again
--- a/packages/entry/include/tamarack/entry/Messages.h
+++ b/packages/entry/include/tamarack/entry/Messages.h
@@ -217,6 +217,8 @@
   using Reply = ExecuteReply;
 
   AttemptId Id;
+  /// The entry that owns the program.
+  InstanceId Owner;
   /// The process that the intent names; no other may execute the attempt.
   Incarnation Target = 0;
   CallKind Kind = CallKind::Chat;
@@ -229,9 +231,9 @@
   TokenCount MaxTokens = 0;
   Duration Remaining{0};
 
-  NLOHMANN_DEFINE_TYPE_INTRUSIVE(ExecuteOrder, Id, Target, Kind, Path, Body,
-                                 IdempotencyKey, Class, Attained, PromptTokens,
-                                 MaxTokens, Remaining)
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(ExecuteOrder, Id, Owner, Target, Kind, Path,
+                                 Body, IdempotencyKey, Class, Attained,
+                                 PromptTokens, MaxTokens, Remaining)
 };
 
 /// What became of an attempt. Exactly one of Answer and Failure is set when it
@@ -264,6 +266,24 @@
   NLOHMANN_DEFINE_TYPE_INTRUSIVE(ReleaseOrder, Programs)
 };
 
+/// Whether a program is alive: begun, not ended, and used lately.
+struct AliveReply {
+  bool Alive = false;
+
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(AliveReply, Alive)
+};
+
+/// An endpoint process asks whether it may go on holding a program's cache.
+struct AliveOrder {
+  static constexpr const char *Name = "alive";
+  using Reply = AliveReply;
+
+  ProgramId Program;
+  std::uint32_t Hops = 0;
+
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(AliveOrder, Program, Hops)
+};
+
 /// A process's document in force.
 struct ConfigOffer {
   Json Document;
--- a/packages/entry/include/tamarack/entry/Owner.h
+++ b/packages/entry/include/tamarack/entry/Owner.h
@@ -91,6 +91,9 @@
   /// Serves a call of a program that is owned here.
   Expected<CallReply> call(const CallOrder &Order, const PartSink &OnPart);
   Expected<ProgramReport> program(const ProgramOrder &Order);
+  /// Whether \p Program has begun, has not ended, and was used within
+  /// \p IdleLimit. A program that died between its turns is so recognised.
+  Expected<bool> isAlive(const ProgramId &Program, Duration IdleLimit);
 
   OwnerCounts counts() const;
   /// The trace of \p Call, or of the last call of \p Program when there is no
--- a/packages/entry/include/tamarack/entry/ShardTable.h
+++ b/packages/entry/include/tamarack/entry/ShardTable.h
@@ -27,6 +27,8 @@
   std::mutex Mutex;
   /// Notified whenever State changes.
   std::condition_variable Changed;
+  /// When a call of the family last started or ended here.
+  TimePoint LastUsed;
   Family State;
 };
 
--- a/packages/entry/src/Owner.cpp
+++ b/packages/entry/src/Owner.cpp
@@ -104,6 +104,7 @@
   }
   if (auto Written = Shards.append(*Where.Shard, Entries); !Written)
     return Written;
+  Where.Held->LastUsed = Time.now();
   Where.Held->Changed.notify_all();
   return {};
 }
@@ -175,7 +176,8 @@
       const bool MayTry = Tried.size() < Self.Settings.MaxAttempts;
       auto Reply = Self.start(
           *Where, Lock, Order, Request, *Start,
-          Tried.empty() ? OnPart : [](const CallPart &) {}, Tried, Trace, Deadline);
+          Tried.empty() ? OnPart : [](const CallPart &) {}, Tried, Trace,
+          Deadline);
       if (Reply || !MayTry || !Order.Repeatable ||
           Tried.size() >= Self.Settings.MaxAttempts ||
           Self.Time.now() >= Deadline)
@@ -229,6 +231,23 @@
   return reportOf(Where->Held->State, Order.Program);
 }
 
+Expected<bool> Owner::isAlive(const ProgramId &Program, Duration IdleLimit) {
+  const auto Where = State->serve(Program);
+  if (!Where)
+    return tl::make_unexpected(Where.error());
+  FamilyLock Lock(Where->Held->Mutex);
+  const Family &Now = Where->Held->State;
+  const auto Found = Now.Programs.find(Program);
+  if (Found == Now.Programs.end() || Found->second.End ||
+      Now.Programs.at(Now.Root).End)
+    return false;
+  // A family that was just taken over has not been used here yet.
+  TimePoint &LastUsed = Where->Held->LastUsed;
+  if (LastUsed == TimePoint())
+    LastUsed = State->Time.now();
+  return Found->second.Running || State->Time.now() - LastUsed < IdleLimit;
+}
+
 Expected<void> Owner::Impl::end(const ServedFamily &Where,
                                 const ProgramId &Program) {
   if (auto Written =
--- a/packages/processes/test/Cluster.cpp
+++ b/packages/processes/test/Cluster.cpp
@@ -264,6 +264,27 @@
   return HttpJson(callers(Entry)).get("/v1/programs/" + Program, KeyHeader);
 }
 
+Expected<HttpJsonAnswer> Cluster::end(int Entry, const std::string &Program) {
+  return HttpJson(callers(Entry)).remove("/v1/programs/" + Program, KeyHeader);
+}
+
+Expected<HttpJsonAnswer> Cluster::operate(int Entry, const std::string &Method,
+                                          const std::string &Path,
+                                          const Json &Body) {
+  return HttpJson(patient(local(OperatorPort + Entry)))
+      .call(Method, Path, Body.is_null() ? "" : Body.dump(),
+            {{"Authorization", "Bearer operator-key"}});
+}
+
+bool Cluster::cacheHolds(int Engine, const std::string &Key) {
+  const auto Answer = HttpJson(local(EnginePort + Engine)).get("/v1/cache");
+  if (Answer)
+    for (const Json &Entry : Answer->Body["entries"])
+      if (Entry["key"] == Key)
+        return true;
+  return false;
+}
+
 int Cluster::executions(const std::string &Key) {
   const auto Answer = HttpJson(local(ServicePort)).get("/v1/executions");
   return Answer ? Answer->Body["executions"].value(Key, 0) : -1;
--- a/packages/processes/test/Cluster.h
+++ b/packages/processes/test/Cluster.h
@@ -56,6 +56,13 @@
                                   int Amount = 100);
   Expected<HttpJsonAnswer> program(int Entry, const std::string &Program);
 
+  Expected<HttpJsonAnswer> end(int Entry, const std::string &Program);
+  /// Calls the operators' port with the operators' key.
+  Expected<HttpJsonAnswer> operate(int Entry, const std::string &Method,
+                                   const std::string &Path, const Json &Body);
+  /// Whether the engine's cache has an entry under \p Key.
+  bool cacheHolds(int Engine, const std::string &Key);
+
   /// How often the service ran the action of \p Key.
   int executions(const std::string &Key);
   /// The instances that own the shards that have an owner, in the order of
--- a/packages/processes/test/ProcessesTest.cpp
+++ b/packages/processes/test/ProcessesTest.cpp
@@ -217,6 +217,101 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(AnEngine)
+
+BOOST_AUTO_TEST_CASE(HoldsNothingOfAProgramThatEndedWhileItsProcessWasDown) {
+  Cluster Deployment;
+  const Answer Turn = Deployment.turn(1, "brief-7", 1, "one");
+  BOOST_REQUIRE(Turn.has_value());
+  const int Engine = numberOf(Turn->Headers.at("Tamarack-Endpoint"));
+  BOOST_TEST(Deployment.cacheHolds(Engine, "obrador~brief-7"));
+  Deployment.kill("beside-engine-" + std::to_string(Engine));
+  BOOST_TEST(Deployment.end(2, "brief-7")->Status == 200);
+  BOOST_TEST(Deployment.cacheHolds(Engine, "obrador~brief-7"));
+  Deployment.startDaemon("beside-engine-" + std::to_string(Engine));
+  BOOST_TEST(Cluster::eventually(
+      [&] { return !Deployment.cacheHolds(Engine, "obrador~brief-7"); }));
+}
+
+BOOST_AUTO_TEST_CASE(HoldsNothingOfAnEndedProgramWhoseOwnerWasKilled) {
+  Cluster Deployment;
+  const Answer Turn = Deployment.turn(1, "brief-8", 1, "one");
+  BOOST_REQUIRE(Turn.has_value());
+  const int Engine = numberOf(Turn->Headers.at("Tamarack-Endpoint"));
+  const std::string Owner = ownerOfProgram("brief-8");
+  Deployment.kill(Owner);
+  BOOST_TEST(Cluster::eventually([&] {
+    const Answer Ended = Deployment.end(otherThan(Owner), "brief-8");
+    return Ended && Ended->Status == 200;
+  }));
+  BOOST_TEST(Cluster::eventually(
+      [&] { return !Deployment.cacheHolds(Engine, "obrador~brief-8"); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Configuration)
+
+BOOST_AUTO_TEST_CASE(IsInForceEverywhereWithinSecondsAndAfterARestart) {
+  Cluster Deployment;
+  const Json Exception{{"id", "slow-day"},
+                       {"scope", {{"customer", "obrador"}}},
+                       {"setting", "max_turns"},
+                       {"value", 40},
+                       {"reason", "a demonstration"},
+                       {"author", "ana"}};
+  const Answer Added =
+      Deployment.operate(1, "POST", "/v1/exceptions", Exception);
+  BOOST_REQUIRE(Added.has_value());
+  BOOST_TEST(Added->Status == 200, show(Added));
+  const auto InForce = [&](int Entry) {
+    const Answer Held = Deployment.operate(Entry, "GET", "/v1/config", {});
+    return Held ? Held->Body["exceptions"].size() : 0;
+  };
+  // Seven seconds at one heartbeat a second; here a heartbeat is 100 ms.
+  BOOST_TEST(
+      Cluster::eventually([&] { return InForce(2) == 1 && InForce(3) == 1; }));
+  Deployment.platformFaults({{"outage", true}});
+  Deployment.kill("entry-2");
+  Deployment.startDaemon("entry-2");
+  BOOST_TEST(Cluster::eventually([&] { return InForce(2) == 1; }));
+  Deployment.platformFaults({{"outage", false}});
+}
+
+BOOST_AUTO_TEST_CASE(HasOneWinnerWhenOperatorsRace) {
+  Cluster Deployment;
+  std::vector<std::future<Answer>> Sent;
+  for (int Operator = 0; Operator < 6; ++Operator)
+    Sent.push_back(std::async(std::launch::async, [&Deployment, Operator] {
+      const Json Document{{"defaults", {{"max_turns", 20 + Operator}}},
+                          {"exceptions", Json::array()},
+                          {"author", "operator"}};
+      return Deployment.operate(
+          Operator % Cluster::Entries + 1, "PUT", "/v1/config",
+          {{"document", Document}, {"expected_revision", 0}});
+    }));
+  int Won = 0;
+  for (auto &Each : Sent) {
+    const Answer Given = Each.get();
+    BOOST_REQUIRE(Given.has_value());
+    BOOST_TEST((Given->Status == 200 || Given->Status == 409), show(Given));
+    Won += Given->Status == 200 ? 1 : 0;
+  }
+  BOOST_TEST(Won == 1);
+}
+
+BOOST_AUTO_TEST_CASE(IsRefusedWithoutTheOperatorsKey) {
+  Cluster Deployment;
+  const Answer Given = HttpJson(7551).get("/v1/status");
+  BOOST_REQUIRE(Given.has_value());
+  BOOST_TEST(Given->Status == 401);
+  const Answer Scraped = HttpJson(7551).get("/metrics");
+  BOOST_TEST(Scraped->Text.find("tamarack_wrong_keys_total{port="
+                                "\"operators\"} 1") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(APlannedStop)
 
 BOOST_AUTO_TEST_CASE(OfAnEndpointProcessCutsNoStreamAndTakesNoNewWork) {
