Pin a new copy's logs so that a late install cannot cut them

Cause: an owner that gave up filling a copy and filled it again at the same epoch could be told by the copy that a log was right, and then an install of the first try, delivered late, cut that log.

--- a/packages/ledger/include/tamarack/ledger/Takeover.h
+++ b/packages/ledger/include/tamarack/ledger/Takeover.h
@@ -104,6 +104,9 @@
 
 /// The changes that bring a copy with the logs \p Held to the logs \p Wanted,
 /// for a folder that is to be named next; logs that are not wanted are emptied.
+/// A log that is right already gets a change too, which adds nothing: once the
+/// copy has accepted it, a late install of an earlier try can no longer replace
+/// the log at this epoch.
 std::vector<Install>
 installsTo(const std::map<ProgramId, std::vector<Record>> &Held,
            const std::map<ProgramId, std::vector<Record>> &Wanted, Epoch At);
--- a/packages/ledger/src/Settle.cpp
+++ b/packages/ledger/src/Settle.cpp
@@ -141,8 +141,7 @@
     Logs[Root].second = Records;
   std::vector<Install> Changes;
   for (const auto &[Root, Pair] : Logs)
-    if (Pair.first != Pair.second)
-      Changes.push_back(installOf(Pair.first, Pair.second, Root, At));
+    Changes.push_back(installOf(Pair.first, Pair.second, Root, At));
   return Changes;
 }
 
--- a/packages/ledger/test/FolderStoreTest.cpp
+++ b/packages/ledger/test/FolderStoreTest.cpp
@@ -109,12 +109,17 @@
     const TemporaryFolder Folder;
     fs::copy(Whole.Path, Folder.Path);
     fs::resize_file(Folder.file(), Size - Cut);
-    const auto Store = Folder.open(Unsynced);
+    auto Store = Folder.open(Unsynced);
     BOOST_REQUIRE_MESSAGE(Store, "cut by " << Cut);
     BOOST_TEST_CONTEXT("cut by " << Cut) {
       BOOST_TEST((*Store)->tornTails() == 1U);
       BOOST_TEST((*Store)->read(Shard, Root)->size() == 2U);
       BOOST_TEST(!!(*Store)->append(Shard, {7, Root, 2, begun(9)}));
+      Store->reset();
+      Store = Folder.open(Unsynced);
+      BOOST_REQUIRE_MESSAGE(Store, Store.error());
+      BOOST_TEST((*Store)->tornTails() == 0U);
+      BOOST_TEST((*Store)->read(Shard, Root)->size() == 3U);
     }
   }
 }
--- /dev/null
+++ b/packages/ledger/test/TakeoverTest.cpp
@@ -0,0 +1,177 @@
+#include "tamarack/ledger/Takeover.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace tamarack {
+
+namespace {
+
+const ProgramId Root("p");
+const Record First{Root, Begun{}};
+const Record End{Root, Ended{}};
+
+Record intent(const std::string &Call) {
+  Intent Sent;
+  Sent.Call = CallId(Call);
+  return {Root, Sent};
+}
+
+Record result(const std::string &Call) {
+  Result Done;
+  Done.Call = CallId(Call);
+  Done.How = Outcome::Completed;
+  return {Root, Done};
+}
+
+using Log = std::vector<Record>;
+
+struct Row {
+  std::string What;
+  std::vector<Log> Copies;
+  Log Expected;
+  /// The calls to ask the endpoint for, and those proved not to have run.
+  std::vector<std::string> Ask, NotRun;
+};
+
+std::vector<SealedLog> sealed(const std::vector<Log> &Copies) {
+  std::vector<SealedLog> Sealed;
+  for (const Log &Copy : Copies)
+    Sealed.push_back({FolderId("f" + std::to_string(Sealed.size())), Copy});
+  return Sealed;
+}
+
+std::vector<std::string> callsWith(const Settlement &Agreed,
+                                   OpenCallFate Fate) {
+  std::vector<std::string> Calls;
+  for (const OpenCall &Open : Agreed.OpenCalls)
+    if (Open.Fate == Fate)
+      Calls.push_back(Open.Sent.Call.text());
+  return Calls;
+}
+
+/// Carries out the first \p Count repairs, as an owner that dies then does.
+void repair(std::vector<SealedLog> &Sealed, const Settlement &Agreed,
+            std::size_t Count, Epoch At) {
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    for (SealedLog &Copy : Sealed)
+      if (Copy.Folder == Agreed.Repairs[Index].Folder) {
+        CopyShard Held{At, {{Root, Copy.Records}}, {}};
+        BOOST_TEST(!!installTo(Held, Agreed.Repairs[Index].Change));
+        Copy.Records = logOf(Held, Root);
+      }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Takeover)
+
+BOOST_AUTO_TEST_CASE(settlesWhatSealedCopiesHoldApart) {
+  const Record A = intent("a"), B = intent("b");
+  const Record DoneA = result("a");
+  const std::vector<Row> Rows{
+      {"equal",
+       {{First, A, DoneA}, {First, A, DoneA}},
+       {First, A, DoneA},
+       {},
+       {}},
+      {"intent on one", {{First, A}, {First}}, {First}, {}, {"a"}},
+      {"intent on both", {{First, A}, {First, A}}, {First, A}, {"a"}, {}},
+      {"one of two sealed", {{First, A}}, {First, A}, {"a"}, {}},
+      {"intent on two of three",
+       {{First, A}, {First}, {First, A}},
+       {First},
+       {},
+       {"a"}},
+      {"result on one",
+       {{First, A, DoneA}, {First, A}},
+       {First, A, DoneA},
+       {},
+       {}},
+      {"result without its intent",
+       {{First, A, DoneA}, {First}},
+       {First, A, DoneA},
+       {},
+       {}},
+      {"begun on one", {{First}, {}}, {First}, {}, {}},
+      {"end on one", {{First}, {First, End}}, {First, End}, {}, {}},
+      {"sent in parallel",
+       {{First, A, B, DoneA}, {First, A}},
+       {First, A, DoneA},
+       {},
+       {"b"}},
+      {"half repaired",
+       {{First, A, B, DoneA}, {First, A, DoneA}},
+       {First, A, DoneA},
+       {},
+       {"b"}},
+      {"nothing", {{}, {}}, {}, {}, {}},
+  };
+  for (const Row &Each : Rows)
+    BOOST_TEST_CONTEXT(Each.What) {
+      std::vector<SealedLog> Sealed = sealed(Each.Copies);
+      const Settlement Agreed = settle(Root, Sealed, 2, 5);
+      BOOST_TEST(Agreed.Log == Each.Expected, boost::test_tools::per_element());
+      BOOST_TEST(callsWith(Agreed, OpenCallFate::AskEndpoint) == Each.Ask,
+                 boost::test_tools::per_element());
+      BOOST_TEST(callsWith(Agreed, OpenCallFate::NotRun) == Each.NotRun,
+                 boost::test_tools::per_element());
+      BOOST_TEST(Agreed.Complete == (Sealed.size() == 2));
+      std::reverse(Sealed.begin(), Sealed.end());
+      BOOST_TEST(settle(Root, Sealed, 2, 5).Log == Agreed.Log,
+                 boost::test_tools::per_element());
+      for (std::size_t Done = 0; Done <= Agreed.Repairs.size(); ++Done) {
+        std::vector<SealedLog> Half = sealed(Each.Copies);
+        repair(Half, Agreed, Done, 5);
+        const Settlement Again = settle(Root, Half, 2, 6);
+        BOOST_TEST(Again.Log == Agreed.Log, "after " << Done << " repairs");
+        repair(Half, Again, Again.Repairs.size(), 6);
+        for (const SealedLog &Copy : Half)
+          BOOST_TEST(Copy.Records == Agreed.Log);
+      }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ofACopyObeysOneEpoch) {
+  CopyShard Copy;
+  const auto KindOf = [](const Expected<void> &Done) {
+    return Done ? std::string("done") : answerOf(Done.error().Kind).Name;
+  };
+  const std::string Fenced = answerOf(ErrorKind::Fenced).Name;
+  const std::string Gap = answerOf(ErrorKind::WrongSequence).Name;
+  BOOST_TEST(KindOf(appendTo(Copy, {0, Root, 0, First})) == Fenced);
+  BOOST_TEST(KindOf(sealAt(Copy, 7)) == "done");
+  BOOST_TEST(KindOf(sealAt(Copy, 7)) == "done");
+  BOOST_TEST(KindOf(sealAt(Copy, 6)) == Fenced);
+  BOOST_TEST(KindOf(appendTo(Copy, {6, Root, 0, First})) == Fenced);
+  BOOST_TEST(KindOf(appendTo(Copy, {8, Root, 0, First})) == Fenced);
+  BOOST_TEST(KindOf(appendTo(Copy, {7, Root, 1, First})) == Gap);
+  BOOST_TEST(KindOf(appendTo(Copy, {7, Root, 0, First})) == "done");
+  BOOST_TEST(KindOf(appendTo(Copy, {7, Root, 0, First})) == "done");
+  BOOST_TEST(KindOf(appendTo(Copy, {7, Root, 0, End})) == Fenced);
+  BOOST_TEST(KindOf(installTo(Copy, {6, Root, 0, {First}})) == Fenced);
+  BOOST_TEST(KindOf(installTo(Copy, {7, Root, 2, {End}})) == Gap);
+  // The log changed at this epoch: a late install may only add to it.
+  BOOST_TEST(KindOf(installTo(Copy, {7, Root, 0, {End}})) == Fenced);
+  BOOST_TEST(KindOf(installTo(Copy, {7, Root, 0, {}})) == "done");
+  BOOST_TEST(logOf(Copy, Root).size() == 1U);
+  BOOST_TEST(KindOf(sealAt(Copy, 8)) == "done");
+  BOOST_TEST(KindOf(installTo(Copy, {8, Root, 0, {End}})) == "done");
+  BOOST_TEST(logOf(Copy, Root) == Log{End}, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(fillsANewCopyAndPinsWhatIsRightAlready) {
+  const ProgramId Old("old");
+  CopyShard Copy{4, {{Root, {First}}, {Old, {End}}}, {}};
+  const std::map<ProgramId, Log> Wanted{{Root, {First}}};
+  const std::vector<Install> Changes = installsTo(Copy.Logs, Wanted, 4);
+  for (const Install &Change : Changes)
+    BOOST_TEST(!!installTo(Copy, Change));
+  BOOST_TEST((Copy.Logs == Wanted));
+  // A truncation of an earlier try comes too late.
+  BOOST_TEST(!!installTo(Copy, {4, Root, 0, {}}));
+  BOOST_TEST((Copy.Logs == Wanted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace tamarack
