--- a/packages/ledger/src/Settle.cpp
+++ b/packages/ledger/src/Settle.cpp
@@ -140,6 +140,7 @@
   for (const auto &[Root, Records] : Wanted)
     Logs[Root].second = Records;
   std::vector<Install> Changes;
+  Changes.reserve(Logs.size());
   for (const auto &[Root, Pair] : Logs)
     Changes.push_back(installOf(Pair.first, Pair.second, Root, At));
   return Changes;
