--- a/packages/ledger/test/TakeoverTest.cpp
+++ b/packages/ledger/test/TakeoverTest.cpp
@@ -35,6 +35,7 @@
 
 std::vector<SealedLog> sealed(const std::vector<Log> &Copies) {
   std::vector<SealedLog> Sealed;
+  Sealed.reserve(Copies.size());
   for (const Log &Copy : Copies)
     Sealed.push_back({FolderId("f" + std::to_string(Sealed.size())), Copy});
   return Sealed;
