--- a/packages/gate/bench/Trial.cpp
+++ b/packages/gate/bench/Trial.cpp
@@ -1,5 +1,7 @@
 #include "Trial.h"
 
+#include "TrialState.h"
+
 #include <algorithm>
 #include <queue>
 
@@ -22,43 +24,6 @@
   return std::chrono::duration<double>(Time).count();
 }
 
-enum class EventKind { Submit, Expire, EndGone, Tick };
-
-struct Event {
-  TimePoint At;
-  std::size_t Order = 0;
-  EventKind Kind = EventKind::Tick;
-  std::size_t Program = 0;
-  std::uint32_t Attempt = 0;
-
-  bool operator<(const Event &Other) const {
-    return std::tie(Other.At, Other.Order) < std::tie(At, Order);
-  }
-};
-
-struct LiveProgram {
-  const ProgramScript *Script = nullptr;
-  std::size_t TurnNumber = 0;
-  /// Tokens of all turns so far, answers included.
-  TokenCount History = 0;
-  TokenCount Attained = 0;
-  TokenCount Output = 0;
-  TokenCount PrefilledNow = 0;
-  std::uint32_t Attempt = 0;
-  unsigned Tries = 0;
-  bool InCall = false;
-  bool Sent = false;
-  bool Gone = false;
-  bool Ended = false;
-  TimePoint Submitted;
-  TimePoint CallBegan;
-  Duration Spent{0};
-
-  const ProgramKind &kind() const { return *Script->Kind; }
-  const Turn &turn() const { return Script->Turns[TurnNumber]; }
-  TokenCount prompt() const { return History + turn().NewTokens; }
-};
-
 AdmissionLimits limitsOf(const TrialSettings &Settings) {
   AdmissionLimits Limits = Settings.Limits;
   Limits.MemoryTokens = Settings.Model.MemoryTokens;
@@ -406,42 +371,8 @@
 
 } // namespace
 
-std::string_view nameOf(TrialPolicy Policy) {
-  switch (Policy) {
-  case TrialPolicy::NoAdmission:
-    return "no admission";
-  case TrialPolicy::FirstComeFirstServed:
-    return "first come first served";
-  case TrialPolicy::Gate:
-    return "gate";
-  }
-  return "";
-}
-
-std::size_t TrialResult::finished() const {
-  std::size_t Sum = 0;
-  for (const ClassResult &Each : Classes.Values)
-    Sum += Each.Finished;
-  return Sum;
-}
-
-std::size_t TrialResult::refused() const {
-  std::size_t Sum = 0;
-  for (const ClassResult &Each : Classes.Values)
-    Sum += Each.Refused;
-  return Sum;
-}
-
 TrialResult runTrial(const TrialSettings &Settings) {
   return Trial(Settings).run();
 }
 
-double percentile(std::vector<double> Values, double Share) {
-  if (Values.empty())
-    return 0;
-  std::sort(Values.begin(), Values.end());
-  const auto Last = static_cast<double>(Values.size() - 1);
-  return Values[static_cast<std::size_t>(Share * Last)];
-}
-
 } // namespace tamarack
--- a/packages/gate/test/AdmissionHistoryTest.cpp
+++ b/packages/gate/test/AdmissionHistoryTest.cpp
@@ -19,8 +19,8 @@
     QueuedCall Call;
     Call.Id = {ProgramId(std::to_string(Next++)), CallId("call"), 1};
     Call.Class = static_cast<CallClass>(Drawn % CallClassCount);
-    Call.Attained = Drawn % 5 * 1'000U;
-    Call.PromptTokens = 100 + Drawn * 10U;
+    Call.Attained = TokenCount{1'000} * (Drawn % 5U);
+    Call.PromptTokens = 100 + TokenCount{10} * Drawn;
     Call.CachedTokens = Drawn % 2 == 0 ? Call.PromptTokens : 0;
     Call.MaxTokens = 200;
     Call.Arrived = Now;
