--- a/packages/config/test/SettingsTest.cpp
+++ b/packages/config/test/SettingsTest.cpp
@@ -171,6 +171,40 @@
   BOOST_TEST(mistakesIn(Outcome)->size() == 6U, textOf(Outcome));
 }
 
+BOOST_AUTO_TEST_CASE(ALongTextIsCutBetweenCharacters) {
+  std::string Long;
+  for (int I = 0; I < 100; ++I)
+    Long += "\u00e9";
+  for (const char *Before : {"", "x"}) {
+    const Json Report = textOf(
+        parseSettings(changed(entryDocument(), {{"/region", Before + Long}})));
+    BOOST_CHECK_NO_THROW(Report.dump());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnyValueAnywhereIsReportedAndNeverThrown) {
+  const std::vector<Json> Odd = {Json(), true,           -1,
+                                 1.5,    UINT64_MAX,     "",
+                                 "x",    Json::array(),  Json::object(),
+                                 {1, 2}, {{"host", {}}}, std::string(100, 'x')};
+  for (const Json &Document : {entryDocument(), endpointDocument()}) {
+    std::vector<std::string> Pointers = {"", "/endpoint", "/platform",
+                                         "/endpoint/at", "/endpoint/serves"};
+    const Json Flat = Document.flatten();
+    for (const auto &Leaf : Flat.items())
+      Pointers.push_back(Leaf.key());
+    for (const std::string &Pointer : Pointers)
+      for (const Json &Value : Odd) {
+        Json Changed = Document;
+        const Json::json_pointer Where(Pointer);
+        if (!Pointer.empty() && !Changed.contains(Where.parent_pointer()))
+          continue;
+        Changed[Where] = Value;
+        BOOST_CHECK_NO_THROW(parseSettings(Changed));
+      }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AFileThatIsNoJsonIsOneMistake) {
   for (const std::string Path : {"/nowhere.json", "/scripts/build"}) {
     const SettingsOutcome Outcome = loadSettings(TAMARACK_SOURCE_DIR + Path);
--- a/packages/entry/src/Owner.cpp
+++ b/packages/entry/src/Owner.cpp
@@ -10,6 +10,9 @@
 /// Longest uninterrupted wait for another call of the program.
 constexpr Duration WaitStep = std::chrono::milliseconds(200);
 
+/// Traces that are kept for explain.
+constexpr std::size_t MaxTraces = 2000;
+
 /// How an ended program is named in reports.
 std::string reasonOf(const std::optional<EndReason> &End) {
   return End ? Json(*End).get<std::string>() : std::string();
@@ -42,16 +45,14 @@
                   std::function<std::string()> Fresh,
                   std::function<std::uint64_t()> Draw)
     : Shards(Shards), Endpoints(Endpoints), Peers(Peers), Time(Time),
-      Settings(Settings), Fresh(std::move(Fresh)),
-      Draw(std::move(Draw)) {}
+      Settings(Settings), Fresh(std::move(Fresh)), Draw(std::move(Draw)) {}
 
 Owner::Owner(ShardTable &Shards, EndpointAccess &Endpoints, Directory &Peers,
              const Clock &Time, OwnerSettings Settings,
              std::function<std::string()> Fresh,
              std::function<std::uint64_t()> Draw)
-    : State(std::make_unique<Impl>(Shards, Endpoints, Peers, Time,
-                                   Settings, std::move(Fresh),
-                                   std::move(Draw))) {}
+    : State(std::make_unique<Impl>(Shards, Endpoints, Peers, Time, Settings,
+                                   std::move(Fresh), std::move(Draw))) {}
 
 Owner::~Owner() = default;
 
@@ -115,9 +116,24 @@
 
 Expected<CallReply> Owner::call(const CallOrder &Order,
                                 const PartSink &OnPart) {
-  Impl &Self = *State;
+  CallTrace Trace;
+  Trace.Program = Order.Program;
+  Trace.Customer = Order.Customer;
+  Trace.Class = Order.Class;
+  auto Reply = State->serveCall(Order, OnPart, Trace);
+  if (!Reply)
+    Trace.Refusal = Reply.error();
+  State->remember(std::move(Trace));
+  return Reply;
+}
+
+Expected<CallReply> Owner::Impl::serveCall(const CallOrder &Order,
+                                           const PartSink &OnPart,
+                                           CallTrace &Trace) {
+  Impl &Self = *this;
   const TimePoint Deadline = Self.Time.now() + Order.Remaining;
   const CallId Call(Self.Fresh());
+  Trace.Call = Call;
   const auto Asked = internal::requestOf(Order, Call, Self.nowMs());
   if (!Asked)
     return Self.refused(Asked.error());
@@ -159,7 +175,7 @@
       const bool MayTry = Tried.size() < Self.Settings.MaxAttempts;
       auto Reply = Self.start(
           *Where, Lock, Order, Request, *Start,
-          Tried.empty() ? OnPart : [](const CallPart &) {}, Tried, Deadline);
+          Tried.empty() ? OnPart : [](const CallPart &) {}, Tried, Trace, Deadline);
       if (Reply || !MayTry || !Order.Repeatable ||
           Tried.size() >= Self.Settings.MaxAttempts ||
           Self.Time.now() >= Deadline)
@@ -237,6 +253,24 @@
   }
 }
 
+void Owner::Impl::remember(CallTrace Trace) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  Traces.push_back(std::move(Trace));
+  if (Traces.size() > MaxTraces)
+    Traces.pop_front();
+}
+
+std::optional<CallTrace> Owner::trace(const CallId &Call,
+                                      const ProgramId &Program) const {
+  std::lock_guard<std::mutex> Lock(State->Mutex);
+  const auto &Traces = State->Traces;
+  for (const bool ByCall : {true, false})
+    for (auto Trace = Traces.rbegin(); Trace != Traces.rend(); ++Trace)
+      if (ByCall ? Trace->Call == Call : Trace->Program == Program)
+        return *Trace;
+  return std::nullopt;
+}
+
 OwnerCounts Owner::counts() const {
   std::lock_guard<std::mutex> Lock(State->Mutex);
   return State->Counts;
