Say not run only where every copy confirms it

Cause: an entry that had lost a shard without knowing answered from what it remembered, and a refusal on the way to the owner claimed that a request had not run although an earlier sending of it might have. A refusal of a request with a key or sequence now says not run only after every copy has confirmed this owner's epoch; a fenced append is never answered as not run but routed to the new owner. Answers use the log's own rule for calls with several attempts. Orders name the target that the endpoint process told last, so that its attempt table can forget.

Found on the way: POCO's server socket shares its port with others unless told not to; process tests now take free ports, so that two checkouts no longer meet.

Ruled out: a message of its own to confirm; sealing again at the same epoch asks the same.

--- a/packages/daemon/src/CallersHttp.cpp
+++ b/packages/daemon/src/CallersHttp.cpp
@@ -119,9 +119,10 @@
     return refuseHere(Response, Customer.error());
   }
   if (Network.isLeaving() && Method == "POST")
-    return sendError(
+    // An earlier sending of the same request may run at another entry.
+    return refuseHere(
         Response,
-        {ErrorKind::Leaving, "this instance is leaving", NotRun::Proved, {}});
+        {ErrorKind::Leaving, "this instance is leaving", NotRun::Unproved, {}});
   if (Method == "POST" && Path == ChatPath)
     return chat(*Customer, Request, Response);
   if (Method == "POST" && Path.rfind(ServicesPrefix, 0) == 0)
@@ -228,6 +229,7 @@
   if (Order->IdempotencyKey.empty() && !Order->Sequence)
     // Lets the request be recognised on a second way to the owner.
     Order->IdempotencyKey = "request-" + Fresh();
+  Order->KeyIsFresh = Request.get("Idempotency-Key", "").empty();
 
   StreamRelay Relay(Response);
   const bool Streams = Parsed.value("stream", false);
--- a/packages/daemon/src/EndpointGate.cpp
+++ b/packages/daemon/src/EndpointGate.cpp
@@ -177,7 +177,9 @@
   return {static_cast<std::uint32_t>(Now.Running),
           static_cast<std::uint32_t>(Now.RunningLimit),
           static_cast<std::uint32_t>(Now.Waiting),
-          Now.ExpectedWait[CallClass::Normal], Now.Draining};
+          Now.ExpectedWait[CallClass::Normal],
+          Now.Draining,
+          Attempts.Self};
 }
 
 GateCounts EndpointGate::counts() const {
--- a/packages/daemon/src/HttpServe.cpp
+++ b/packages/daemon/src/HttpServe.cpp
@@ -53,8 +53,16 @@
 struct HttpServe::Impl {
   Impl(const Poco::Net::SocketAddress &Listen, HttpHandler Handler)
       : Threads(IdleThreads, MaxThreads),
-        Server(new FunctionFactory(std::move(Handler)), Threads,
-               Poco::Net::ServerSocket(Listen), params()) {}
+        Server(new FunctionFactory(std::move(Handler)), Threads, bound(Listen),
+               params()) {}
+
+  /// A socket that no other process can listen on at the same time.
+  static Poco::Net::ServerSocket bound(const Poco::Net::SocketAddress &Listen) {
+    Poco::Net::ServerSocket Socket;
+    Socket.bind(Listen, true, false);
+    Socket.listen();
+    return Socket;
+  }
 
   static Poco::Net::HTTPServerParams *params() {
     auto *Params = new Poco::Net::HTTPServerParams;
--- a/packages/daemon/src/Peers.cpp
+++ b/packages/daemon/src/Peers.cpp
@@ -290,6 +290,7 @@
       View.Running = Known->second.Load.Running;
       View.Waiting = Known->second.Load.Waiting;
       View.Limit = Known->second.Load.Limit;
+      View.Target = Known->second.Load.Target;
       View.ReportedAt = Known->second.ReportedAt;
       View.OwnSentSince = Known->second.OwnSentSince;
     }
--- a/packages/daemon/src/Router.cpp
+++ b/packages/daemon/src/Router.cpp
@@ -67,6 +67,20 @@
 }
 
 Expected<CallReply> Router::call(CallOrder Order, const PartSink &OnPart) {
+  auto Reply = routeCall(Order, OnPart);
+  if (Reply || !mayBeRepeated(Order))
+    return Reply;
+  // Of a request that may have been sent before, only the owner can say that
+  // it did not run, and what failed on the way says nothing.
+  Error Why = Reply.error();
+  if (Why.Kind == ErrorKind::OwnerUnavailable ||
+      Why.Kind == ErrorKind::PlatformUnavailable ||
+      Why.Kind == ErrorKind::LinkLost)
+    Why.Proof = NotRun::Unproved;
+  return tl::make_unexpected(Why);
+}
+
+Expected<CallReply> Router::routeCall(CallOrder Order, const PartSink &OnPart) {
   const TimePoint Deadline = Time.now() + Order.Remaining;
   const auto Carry = [this, &Order, Deadline] {
     Order.Remaining = Deadline - Time.now();
--- a/packages/daemon/src/Router.h
+++ b/packages/daemon/src/Router.h
@@ -21,6 +21,7 @@
   Expected<bool> isAlive(AliveOrder Order, Duration IdleLimit);
 
 private:
+  Expected<CallReply> routeCall(CallOrder Order, const PartSink &OnPart);
   /// Runs \p Here on this entry or \p There at the owner, and tries again
   /// while the owner is changing and \p Deadline allows.
   template <typename Reply>
--- a/packages/entry/include/tamarack/entry/Messages.h
+++ b/packages/entry/include/tamarack/entry/Messages.h
@@ -77,6 +77,8 @@
   ProgramId Program;
   std::optional<std::uint64_t> Sequence;
   std::string IdempotencyKey;
+  /// The key was made by the first entry, so no earlier sending carried it.
+  bool KeyIsFresh = false;
   /// The model or the service.
   std::string Target;
   /// Below the service; empty for models.
@@ -93,9 +95,9 @@
   std::uint32_t Hops = 0;
 
   NLOHMANN_DEFINE_TYPE_INTRUSIVE(CallOrder, Kind, Customer, Workspace, Program,
-                                 Sequence, IdempotencyKey, Target, Path, Body,
-                                 MayBegin, Repeatable, Class, Remaining, Budget,
-                                 Bounds, Hops)
+                                 Sequence, IdempotencyKey, KeyIsFresh, Target,
+                                 Path, Body, MayBegin, Repeatable, Class,
+                                 Remaining, Budget, Bounds, Hops)
 };
 
 struct ProgramReport {
@@ -193,9 +195,11 @@
   std::uint32_t Waiting = 0;
   Duration ExpectedWait{0};
   bool Draining = false;
+  /// What orders must name as their target; see gate/Attempts.h.
+  Incarnation Target = 0;
 
   NLOHMANN_DEFINE_TYPE_INTRUSIVE(EndpointLoad, Running, Limit, Waiting,
-                                 ExpectedWait, Draining)
+                                 ExpectedWait, Draining, Target)
 };
 
 struct ExecuteReply {
@@ -310,6 +314,11 @@
   NLOHMANN_DEFINE_TYPE_INTRUSIVE(DrainOrder, Instance)
 };
 
+/// Whether the request may have been sent before under the same name.
+inline bool mayBeRepeated(const CallOrder &Order) {
+  return Order.Sequence || (!Order.IdempotencyKey.empty() && !Order.KeyIsFresh);
+}
+
 /// What both ends of a link tell with each heartbeat.
 struct PeerState {
   InstanceId Instance;
--- a/packages/entry/include/tamarack/entry/ShardTable.h
+++ b/packages/entry/include/tamarack/entry/ShardTable.h
@@ -77,6 +77,10 @@
   /// later append succeeds at this epoch.
   Expected<void> append(OwnedShard &Shard, const std::vector<Append> &Entries);
 
+  /// Whether this process owned \p Shard just now: every copy confirms its
+  /// epoch. Without that, what it remembers proves nothing about a request.
+  Expected<void> confirm(OwnedShard &Shard);
+
   /// Forgets what is known of the owner of \p Shard elsewhere.
   void forgetOwner(ShardId Shard);
 
--- a/packages/entry/src/Owner.cpp
+++ b/packages/entry/src/Owner.cpp
@@ -122,12 +122,29 @@
   Trace.Customer = Order.Customer;
   Trace.Class = Order.Class;
   auto Reply = State->serveCall(Order, OnPart, Trace);
-  if (!Reply)
-    Trace.Refusal = Reply.error();
+  if (!Reply) {
+    const Error Why = State->provable(Order, Reply.error());
+    Reply = tl::make_unexpected(Why);
+    Trace.Refusal = Why;
+  }
   State->remember(std::move(Trace));
   return Reply;
 }
 
+/// An earlier sending of the same request may have run under another owner.
+/// "Not run" is therefore only said of a request that carries a name of its
+/// own when every copy confirms that this process still owns the program.
+Error Owner::Impl::provable(const CallOrder &Order, Error Why) {
+  if (Why.Proof == NotRun::Unproved || !mayBeRepeated(Order) ||
+      Why.Kind == ErrorKind::MalformedRequest)
+    return Why;
+  const auto Where = serve(Order.Program);
+  if (Where && Shards.confirm(*Where->Shard))
+    return Why;
+  Why.Proof = NotRun::Unproved;
+  return Why;
+}
+
 Expected<CallReply> Owner::Impl::serveCall(const CallOrder &Order,
                                            const PartSink &OnPart,
                                            CallTrace &Trace) {
--- a/packages/entry/src/OwnerAttempt.cpp
+++ b/packages/entry/src/OwnerAttempt.cpp
@@ -94,7 +94,8 @@
   Sent.Digest = Request.Digest;
   Sent.Attempt = Start.Attempt;
   Sent.Endpoint = Chosen->Endpoint;
-  Sent.EndpointIncarnation = Beside->second.Known.Life;
+  Sent.EndpointIncarnation =
+      View->Target != 0 ? View->Target : Beside->second.Known.Life;
   Sent.Repeatable = Request.Repeatable;
   Sent.Reserved = Request.WorstCase;
   Sent.NewMessages = Request.NewMessages;
@@ -102,7 +103,11 @@
   if (Start.BeginFirst)
     Records.push_back({Order.Program, Request.IfNew});
   Records.push_back({Order.Program, Sent});
-  if (const auto Written = record(Where, Records); !Written)
+  const auto Written = record(Where, Records);
+  if (!Written && Written.error().Kind == ErrorKind::Fenced)
+    // A later owner may have run the same request.
+    return refuse(ErrorKind::Fenced, "another entry owns the program");
+  if (!Written)
     // The intent is not known to be on every copy, so it is never sent.
     return refuse(ErrorKind::NotEnoughCopies,
                   "the intent could not be kept: " + Written.error().Message,
@@ -142,7 +147,7 @@
   }
   Lock.unlock();
   const Result Done = runAttempt(*Opened, Execute, OnPart, Deadline);
-  const Expected<void> Settled = settle(*Opened, Done, Deadline);
+  const Expected<Result> Settled = settle(*Opened, Done, Deadline);
   {
     std::lock_guard<std::mutex> Registering(Mutex);
     Local.erase(Opened->Id);
@@ -151,7 +156,7 @@
   }
   if (!Settled)
     return refused(Settled.error());
-  auto Reply = internal::replyOf(Done);
+  auto Reply = internal::replyOf(*Settled);
   Trace.Call = Opened->Id.Call;
   Trace.Attempts.push_back(
       {Opened->Id.Attempt, Opened->Sent.Endpoint,
@@ -224,8 +229,7 @@
         return Row.second.Known.Endpoint == Sent.Endpoint;
       });
   if (Beside == Members.Members.end() ||
-      Beside->second.Known.State == MemberState::Gone ||
-      Beside->second.Known.Life > Sent.EndpointIncarnation)
+      Beside->second.Known.State == MemberState::Gone)
     return failureOf(Id, Sent, Unknown);
   const auto Fate =
       Endpoints.ask(Beside->first, {Id, Sent.EndpointIncarnation});
@@ -250,8 +254,8 @@
   return failureOf(Id, Sent, Fate->Failure.value_or(Unknown));
 }
 
-Expected<void> Owner::Impl::settle(const OpenAttempt &Attempt,
-                                   const Result &Done, TimePoint Deadline) {
+Expected<Result> Owner::Impl::settle(const OpenAttempt &Attempt,
+                                     const Result &Done, TimePoint Deadline) {
   const TimePoint GiveUp = std::max(Deadline, Time.now() + SettleLimit);
   while (true) {
     const auto Where = serve(Attempt.Id.Program);
@@ -267,7 +271,8 @@
       if (!Open)
         return refuse(ErrorKind::Fenced, "another owner settled the call");
       if (record(*Where, {Record{Attempt.Id.Program, Done}}))
-        return {};
+        return answerFor(Where->Held->State.Programs.at(Attempt.Id.Program)
+                             .Calls.at(Attempt.Id.Call));
     } else if (Where.error().Kind == ErrorKind::Fenced) {
       return refuse(ErrorKind::Fenced, "another entry owns the program");
     }
--- a/packages/entry/src/OwnerImpl.h
+++ b/packages/entry/src/OwnerImpl.h
@@ -57,8 +57,9 @@
   Result resultOf(const OpenAttempt &Attempt,
                   const Expected<ExecuteReply> &Answer) const;
   /// Writes the result of an attempt, under whichever epoch the shard is held.
-  Expected<void> settle(const OpenAttempt &Attempt, const Result &Done,
-                        TimePoint Deadline);
+  /// Returns the result that the caller may be told.
+  Expected<Result> settle(const OpenAttempt &Attempt, const Result &Done,
+                          TimePoint Deadline);
 
   Expected<CallReply> start(const ServedFamily &Where, FamilyLock &Lock,
                             const CallOrder &Order, const CallRequest &Request,
@@ -68,6 +69,7 @@
   void countUse(TokenCount HistoryBefore, const TokenUse &Use);
   void remember(CallTrace Trace);
   Expected<CallReply> refused(const Error &Why);
+  Error provable(const CallOrder &Order, Error Why);
 
   /// Ends a program and frees its engine memory.
   Expected<void> end(const ServedFamily &Where, const ProgramId &Program);
--- a/packages/entry/src/ShardTable.cpp
+++ b/packages/entry/src/ShardTable.cpp
@@ -164,6 +164,18 @@
   return Outcome;
 }
 
+Expected<void> ShardTable::confirm(OwnedShard &Shard) {
+  for (const CopyPlace &Place : Shard.Copies) {
+    // Sealing again at the same epoch changes nothing, and is refused once
+    // another owner has sealed a later one.
+    if (auto Same = State->Copies.seal(Place, Shard.Number, Shard.At); !Same) {
+      Shard.Lost = true;
+      return Same;
+    }
+  }
+  return {};
+}
+
 void ShardTable::forgetOwner(ShardId Shard) {
   std::lock_guard<std::mutex> Lock(State->Mutex);
   State->KnownOwners.erase(Shard);
--- a/packages/processes/test/Cluster.cpp
+++ b/packages/processes/test/Cluster.cpp
@@ -1,10 +1,14 @@
 #include "Cluster.h"
 
+#include "tamarack/base/Ids.h"
+
+#include <arpa/inet.h>
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
 #include <spawn.h>
 #include <stdexcept>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -14,20 +18,61 @@
 namespace tamarack {
 namespace {
 
-constexpr int KvPort = 7500;
-constexpr int EnginePort = 7510;
-constexpr int ServicePort = 7520;
-constexpr int EntryPort = 7530;
-constexpr int CallerPort = 7540;
-constexpr int OperatorPort = 7550;
-constexpr int BesidePort = 7560;
+/// Offsets from the deployment's first port.
+constexpr int KvPort = 0;
+constexpr int EnginePort = 10;
+constexpr int ServicePort = 20;
+constexpr int EntryPort = 30;
+constexpr int CallerPort = 40;
+constexpr int OperatorPort = 50;
+constexpr int BesidePort = 60;
+constexpr int PortsNeeded = 70;
+constexpr int LowestPort = 20000;
+constexpr int HighestPort = 30000;
 constexpr int Engines = 2;
+constexpr std::uint32_t ShardCount = 16;
 constexpr auto Poll = std::chrono::milliseconds(20);
 constexpr int PollsAtMost = 750;
 const HttpHeaders KeyHeader{{"Authorization", "Bearer key-of-obrador"}};
 
-HttpTarget local(int Port) {
-  return HttpTarget(static_cast<std::uint16_t>(Port));
+bool isFree(int Port) {
+  const int Socket = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(static_cast<std::uint16_t>(Port));
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const int One = 1;
+  setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &One, sizeof(One));
+  const bool Free = bind(Socket, reinterpret_cast<sockaddr *>(&Address),
+                         sizeof(Address)) == 0;
+  close(Socket);
+  return Free;
+}
+
+/// The first of a range of ports that nobody uses. Ranges below the ephemeral
+/// ports, and other ranges for other processes, so that several checkouts can
+/// be tested at once.
+int freePorts() {
+  const int Ranges = (HighestPort - LowestPort) / PortsNeeded;
+  for (int Try = 0; Try < Ranges; ++Try) {
+    const int First =
+        LowestPort + (static_cast<int>(getpid()) + Try) % Ranges * PortsNeeded;
+    bool Free = true;
+    for (int Offset = 0; Free && Offset < PortsNeeded; ++Offset)
+      Free = isFree(First + Offset);
+    if (Free)
+      return First;
+  }
+  throw std::runtime_error("no free ports");
+}
+
+int portAt(int Offset) {
+  static const int First = freePorts();
+  return First + Offset;
+}
+
+HttpTarget local(int Offset) {
+  return HttpTarget(static_cast<std::uint16_t>(portAt(Offset)));
 }
 
 void writeFile(const std::filesystem::path &Path, const std::string &Text) {
@@ -74,18 +119,19 @@
   writeFile(Folder / "operator.key", "operator-key");
   writeFile(Folder / "callers.json", R"({"key-of-obrador": "obrador"})");
   launch("kv", "tamarack-standin",
-         {"--kind=kv", "--port=" + std::to_string(KvPort)});
+         {"--kind=kv", "--port=" + std::to_string(portAt(KvPort))});
   launch("service", "tamarack-standin",
-         {"--kind=service", "--port=" + std::to_string(ServicePort),
+         {"--kind=service", "--port=" + std::to_string(portAt(ServicePort)),
           "--delay_ms=" + std::to_string(Options.ServiceDelay.count())});
   eventually([] { return answers(KvPort, "/v1/stats"); });
   std::vector<std::string> Daemons;
   for (int Entry = 1; Entry <= Entries; ++Entry) {
     const std::string Name = numbered("entry", Entry);
     writeSettings(
-        Name, "entry", Entry == 1 ? "andes-a" : "andes-b", EntryPort + Entry,
-        {{"caller_port", CallerPort + Entry},
-         {"operator_port", OperatorPort + Entry},
+        Name, "entry", Entry == 1 ? "andes-a" : "andes-b",
+        portAt(EntryPort + Entry),
+        {{"caller_port", portAt(CallerPort + Entry)},
+         {"operator_port", portAt(OperatorPort + Entry)},
          {"operator_key_file", (Folder / "operator.key").string()},
          {"caller_keys_file", (Folder / "callers.json").string()},
          {"data_folder", (Folder / numbered("data", Entry)).string()}});
@@ -93,30 +139,33 @@
   }
   for (int Engine = 1; Engine <= Engines; ++Engine) {
     launch(numbered("engine", Engine), "tamarack-standin",
-           {"--kind=engine", "--port=" + std::to_string(EnginePort + Engine),
+           {"--kind=engine",
+            "--port=" + std::to_string(portAt(EnginePort + Engine)),
             "--token_ms=" + std::to_string(Options.TokenMs)});
     const std::string Name = numbered("beside-engine", Engine);
     writeSettings(
-        Name, "endpoint", "andes-a", BesidePort + Engine,
+        Name, "endpoint", "andes-a", portAt(BesidePort + Engine),
         {{"endpoint",
           {{"name", numbered("engine", Engine)},
            {"kind", "engine"},
-           {"at", {{"host", "127.0.0.1"}, {"port", EnginePort + Engine}}},
+           {"at",
+            {{"host", "127.0.0.1"}, {"port", portAt(EnginePort + Engine)}}},
            {"serves", {"asistente"}},
            {"checks_fence", false},
            {"max_batch", 16},
            {"memory_tokens", 100000}}}});
     Daemons.push_back(Name);
   }
-  writeSettings("beside-payouts", "endpoint", "andes-a", BesidePort,
-                {{"endpoint",
-                  {{"name", "payouts-1"},
-                   {"kind", "service"},
-                   {"at", {{"host", "127.0.0.1"}, {"port", ServicePort}}},
-                   {"serves", {"payouts"}},
-                   {"checks_fence", false},
-                   {"repeatable", false},
-                   {"max_batch", 16}}}});
+  writeSettings(
+      "beside-payouts", "endpoint", "andes-a", portAt(BesidePort),
+      {{"endpoint",
+        {{"name", "payouts-1"},
+         {"kind", "service"},
+         {"at", {{"host", "127.0.0.1"}, {"port", portAt(ServicePort)}}},
+         {"serves", {"payouts"}},
+         {"checks_fence", false},
+         {"repeatable", false},
+         {"max_batch", 16}}}});
   Daemons.emplace_back("beside-payouts");
   for (const std::string &Name : Daemons)
     startDaemon(Name);
@@ -179,8 +228,8 @@
                 {"data_centre", DataCentre},
                 {"host", "127.0.0.1"},
                 {"peer_port", PeerPort},
-                {"shard_count", 16},
-                {"platform", {{"host", "127.0.0.1"}, {"port", KvPort}}},
+                {"shard_count", ShardCount},
+                {"platform", {{"host", "127.0.0.1"}, {"port", portAt(KvPort)}}},
                 {"peer_key_file", (Folder / "peer.key").string()},
                 {"heartbeat_every_ms", 100},
                 {"silence_limit_ms", 500},
@@ -290,6 +339,20 @@
   return Answer ? Answer->Body["executions"].value(Key, 0) : -1;
 }
 
+Expected<HttpJsonAnswer> Cluster::unkeyed(int Entry, const std::string &Path) {
+  return HttpJson(local(OperatorPort + Entry)).get(Path);
+}
+
+std::string Cluster::ownerOf(const std::string &Program) {
+  const ShardId Shard = shardOf(ProgramId("obrador~" + Program), ShardCount);
+  const auto Stored =
+      HttpJson(local(KvPort))
+          .get("/v1/kv/tamarack/shards/andes/" + std::to_string(Shard));
+  if (!Stored || Stored->Status != 200)
+    return {};
+  return Json::parse(Stored->Body["value"].get<std::string>())["Owner"];
+}
+
 std::vector<std::string> Cluster::owners() {
   std::vector<std::string> Owners;
   const auto Answer =
--- a/packages/processes/test/Cluster.h
+++ b/packages/processes/test/Cluster.h
@@ -65,6 +65,10 @@
 
   /// How often the service ran the action of \p Key.
   int executions(const std::string &Key);
+  /// Asks the operators' port without a key.
+  Expected<HttpJsonAnswer> unkeyed(int Entry, const std::string &Path);
+  /// The instance that the record of the program's shard names.
+  std::string ownerOf(const std::string &Program);
   /// The instances that own the shards that have an owner, in the order of
   /// the shards' keys.
   std::vector<std::string> owners();
--- a/packages/processes/test/ProcessesTest.cpp
+++ b/packages/processes/test/ProcessesTest.cpp
@@ -23,20 +23,9 @@
 
 /// The entry that serves the call of \p Key, found by the shard's record.
 std::string ownerOfPayout(Cluster &Deployment, const std::string &Key) {
-  const ProgramId Program(
-      "obrador~service:payouts:" + std::to_string(stableHash(Key)) + ":" +
+  return Deployment.ownerOf(
+      "service:payouts:" + std::to_string(stableHash(Key)) + ":" +
       std::to_string(stableHash(Key, 1)));
-  const auto Records = HttpJson(7500).get("/v1/kv/tamarack/shards/andes/" +
-                                          std::to_string(shardOf(Program, 16)));
-  static_cast<void>(Deployment);
-  return Json::parse(Records->Body["value"].get<std::string>())["Owner"];
-}
-
-std::string ownerOfProgram(const std::string &Program) {
-  const auto Record = HttpJson(7500).get(
-      "/v1/kv/tamarack/shards/andes/" +
-      std::to_string(shardOf(ProgramId("obrador~" + Program), 16)));
-  return Json::parse(Record->Body["value"].get<std::string>())["Owner"];
 }
 
 int numberOf(const std::string &Instance) { return Instance.back() - '0'; }
@@ -149,7 +138,7 @@
   Cluster Deployment;
   BOOST_TEST(Deployment.turn(1, "brief-1", 1, "one")->Status == 200);
   BOOST_TEST(Deployment.turn(2, "brief-1", 2, "two")->Status == 200);
-  const std::string Owner = ownerOfProgram("brief-1");
+  const std::string Owner = Deployment.ownerOf("brief-1");
   Deployment.kill(Owner);
   const int Entry = otherThan(Owner);
   const Answer Third = Deployment.turn(Entry, "brief-1", 3, "three");
@@ -200,7 +189,7 @@
 BOOST_AUTO_TEST_CASE(SurvivesTheLossOfACopyWithItsFolder) {
   Cluster Deployment;
   BOOST_TEST(Deployment.turn(1, "brief-4", 1, "one")->Status == 200);
-  const std::string Owner = ownerOfProgram("brief-4");
+  const std::string Owner = Deployment.ownerOf("brief-4");
   const std::string Lost = "entry-" + std::to_string(otherThan(Owner));
   Deployment.kill(Lost);
   const Answer Second = Deployment.turn(numberOf(Owner), "brief-4", 2, "two");
@@ -238,7 +227,7 @@
   const Answer Turn = Deployment.turn(1, "brief-8", 1, "one");
   BOOST_REQUIRE(Turn.has_value());
   const int Engine = numberOf(Turn->Headers.at("Tamarack-Endpoint"));
-  const std::string Owner = ownerOfProgram("brief-8");
+  const std::string Owner = Deployment.ownerOf("brief-8");
   Deployment.kill(Owner);
   BOOST_TEST(Cluster::eventually([&] {
     const Answer Ended = Deployment.end(otherThan(Owner), "brief-8");
@@ -302,10 +291,10 @@
 
 BOOST_AUTO_TEST_CASE(IsRefusedWithoutTheOperatorsKey) {
   Cluster Deployment;
-  const Answer Given = HttpJson(7551).get("/v1/status");
+  const Answer Given = Deployment.unkeyed(1, "/v1/status");
   BOOST_REQUIRE(Given.has_value());
   BOOST_TEST(Given->Status == 401);
-  const Answer Scraped = HttpJson(7551).get("/metrics");
+  const Answer Scraped = Deployment.unkeyed(1, "/metrics");
   BOOST_TEST(Scraped->Text.find("tamarack_wrong_keys_total{port="
                                 "\"operators\"} 1") != std::string::npos);
 }
--- a/packages/routing/include/tamarack/routing/ChooseEndpoint.h
+++ b/packages/routing/include/tamarack/routing/ChooseEndpoint.h
@@ -43,13 +43,16 @@
   /// The wait added by this entry's own work sent after that report.
   Duration OwnSentSince{0};
   MemberState State = MemberState::Live;
+  /// What orders to its process must name as their target; zero where none was
+  /// heard yet.
+  Incarnation Target = 0;
   /// Taken out by its health, see Health.h.
   bool Ejected = false;
 
   auto tied() const {
     return std::tie(Endpoint, Instance, Region, DataCentre, ExpectedWait,
                     Running, Waiting, Limit, ReportedAt, OwnSentSince, State,
-                    Ejected);
+                    Target, Ejected);
   }
 };
 
