Retry within the budgets of the routing package

Cause: attempts were repeated up to a fixed number whatever the rest of the fleet did, and no retry reason was counted. The owner now asks decideRetry after each failed attempt of an endpoint, waits its backoff, and counts each reason to try again or to give up.

A first form asked it also for fenced logs, which turned a frozen owner's answer into outcome_unknown: RunsOnceWhenItsOwnerIsFrozenAndThawedAfter ATakeOver failed with 502 instead of the stored answer. Failures of the log now pass through to the router.

--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -293,6 +293,16 @@
     Refused[Kind] += Count;
   for (const ErrorAnswer &Row : errorTable())
     Add(Counter::Refused, Refused[Row.Kind], Row.Name);
+  for (const RetryReason Reason : retryReasons()) {
+    const auto Found = Owned.Retried.find(Reason);
+    Add(Counter::Retried, Found == Owned.Retried.end() ? 0 : Found->second,
+        nameOf(Reason));
+  }
+  for (const GiveUpReason Reason : giveUpReasons()) {
+    const auto Found = Owned.GaveUp.find(Reason);
+    Add(Counter::GaveUp, Found == Owned.GaveUp.end() ? 0 : Found->second,
+        nameOf(Reason));
+  }
   Add(Counter::CallsStarted, Owned.Started);
   Add(Counter::CallsJoined, Owned.Joined);
   Add(Counter::AnswersRepeated, Owned.Stored);
--- a/packages/daemon/src/Metrics.cpp
+++ b/packages/daemon/src/Metrics.cpp
@@ -26,6 +26,8 @@
      "From a program's first call to its end on request.", ""},
     {"tamarack_refused_total", "Requests refused, by error kind.", "kind"},
     {"tamarack_retries_total", "Attempts made again, by reason.", "reason"},
+    {"tamarack_retries_refused_total",
+     "Failed attempts that were not made again, by reason.", "reason"},
     {"tamarack_calls_started_total", "Attempts that were begun.", ""},
     {"tamarack_calls_joined_total",
      "Waits of a repeated request for the running call.", ""},
--- a/packages/daemon/src/Metrics.h
+++ b/packages/daemon/src/Metrics.h
@@ -22,6 +22,7 @@
 enum class Counter {
   Refused,
   Retried,
+  GaveUp,
   CallsStarted,
   CallsJoined,
   AnswersRepeated,
--- a/packages/entry/include/tamarack/entry/Owner.h
+++ b/packages/entry/include/tamarack/entry/Owner.h
@@ -15,6 +15,7 @@
 
 #include "tamarack/base/Clock.h"
 #include "tamarack/entry/ShardTable.h"
+#include "tamarack/routing/RetryBudget.h"
 
 #include <memory>
 
@@ -24,8 +25,7 @@
   std::uint32_t ShardCount = 64;
   /// Entries that an order may pass on its way to the owner.
   std::uint32_t MaxHops = 3;
-  /// Attempts of one repeatable call.
-  std::uint32_t MaxAttempts = 3;
+  RetryLimits Retries;
   /// How long to wait between questions after an attempt that still runs.
   Duration AskEvery = std::chrono::milliseconds(200);
   CostModel Costs;
@@ -38,7 +38,8 @@
   std::uint64_t Stored = 0;
   std::uint64_t Waited = 0;
   std::uint64_t Asked = 0;
-  std::uint64_t Retried = 0;
+  std::map<RetryReason, std::uint64_t> Retried;
+  std::map<GiveUpReason, std::uint64_t> GaveUp;
   std::uint64_t OutcomesUnknown = 0;
   TokenCount PromptTokens = 0;
   TokenCount CachedTokens = 0;
--- a/packages/entry/src/Owner.cpp
+++ b/packages/entry/src/Owner.cpp
@@ -3,6 +3,7 @@
 #include "tamarack/members/Ownership.h"
 
 #include <algorithm>
+#include <thread>
 
 namespace tamarack {
 namespace {
@@ -131,6 +132,34 @@
   return Reply;
 }
 
+Expected<void> Owner::Impl::mayRetry(const CallOrder &Order,
+                                     const Error &Failure,
+                                     std::vector<EndpointId> &Tried,
+                                     unsigned Attempts, TimePoint Deadline) {
+  // Nothing was sent, or the outcome could not be kept here: no matter of the
+  // endpoint, and the router finds who serves the program now.
+  const bool OfTheLog = Failure.Kind == ErrorKind::Fenced ||
+                        Failure.Kind == ErrorKind::NotEnoughCopies;
+  if (Tried.empty() || OfTheLog)
+    return tl::make_unexpected(Failure);
+  FailedAttempt Failed{Failure,  Tried.back(), Order.Repeatable,
+                       Attempts, Deadline,     Tried};
+  std::unique_lock<std::mutex> Lock(Mutex);
+  RetryOutcome Outcome = decideRetry(Failed, std::move(Budgets),
+                                     Settings.Retries, Time.now(), Draw());
+  Budgets = std::move(Outcome.Budgets);
+  if (const auto *End = std::get_if<GiveUp>(&Outcome.Decision)) {
+    ++Counts.GaveUp[End->Reason];
+    return tl::make_unexpected(End->Final);
+  }
+  const auto &Again = std::get<Retry>(Outcome.Decision);
+  ++Counts.Retried[Again.Reason];
+  Tried = Again.Exclude;
+  Lock.unlock();
+  std::this_thread::sleep_for(Again.After);
+  return {};
+}
+
 /// An earlier sending of the same request may have run under another owner.
 /// "Not run" is therefore only said of a request that carries a name of its
 /// own when every copy confirms that this process still owns the program.
@@ -157,6 +186,7 @@
     return Self.refused(Asked.error());
   std::vector<EndpointId> Tried;
   bool MayHaveRun = false;
+  unsigned Attempts = 0;
   while (true) {
     const auto Where = Self.serve(Order.Program);
     if (!Where) {
@@ -186,26 +216,24 @@
       }
       auto Reply = internal::replyOf(Stored->Answer);
       if (Reply)
-        Reply->Stored = Tried.empty();
+        Reply->Stored = Attempts == 0;
       return Reply;
     }
     if (const auto *Start = std::get_if<StartCall>(&Decision)) {
-      const bool MayTry = Tried.size() < Self.Settings.MaxAttempts;
       auto Reply = Self.start(
           *Where, Lock, Order, Request, *Start,
-          Tried.empty() ? OnPart : [](const CallPart &) {}, Tried, Trace,
+          Attempts == 0 ? OnPart : [](const CallPart &) {}, Tried, Trace,
           Deadline);
-      if (Reply || !MayTry || !Order.Repeatable ||
-          Tried.size() >= Self.Settings.MaxAttempts ||
-          Self.Time.now() >= Deadline)
-        return Reply;
-      if (Reply.error().Kind != ErrorKind::EndpointFailed &&
-          Reply.error().Kind != ErrorKind::EndpointUnavailable &&
-          Reply.error().Kind != ErrorKind::Leaving)
+      if (Reply)
         return Reply;
+      if (Lock.owns_lock())
+        Lock.unlock();
+      ++Attempts;
+      if (auto Again =
+              Self.mayRetry(Order, Reply.error(), Tried, Attempts, Deadline);
+          !Again)
+        return Self.refused(Again.error());
       MayHaveRun = MayHaveRun || Reply.error().Proof == NotRun::Unproved;
-      std::lock_guard<std::mutex> Counting(Self.Mutex);
-      ++Self.Counts.Retried;
       continue;
     }
     const TimePoint Now = Self.Time.now();
--- a/packages/entry/src/OwnerAttempt.cpp
+++ b/packages/entry/src/OwnerAttempt.cpp
@@ -122,7 +122,7 @@
     std::vector<EndpointId> &Tried, CallTrace &Trace, TimePoint Deadline) {
   const auto Opened = openAttempt(Where, Order, Request, Start, Tried, Trace);
   if (!Opened)
-    return refused(Opened.error());
+    return tl::make_unexpected(Opened.error());
   Tried.push_back(Opened->Sent.Endpoint);
   const Family &Now = Where.Held->State;
   const ProgramState &Program = Now.Programs.at(Order.Program);
@@ -144,6 +144,9 @@
     std::lock_guard<std::mutex> Registering(Mutex);
     ++Counts.Started;
     Local.insert(Opened->Id);
+    if (Tried.size() > 1)
+      Budgets = onRetrySent(std::move(Budgets), Opened->Sent.Endpoint,
+                            Settings.Retries);
   }
   Lock.unlock();
   const Result Done = runAttempt(*Opened, Execute, OnPart, Deadline);
@@ -155,15 +158,18 @@
       ++Counts.OutcomesUnknown;
   }
   if (!Settled)
-    return refused(Settled.error());
+    return tl::make_unexpected(Settled.error());
   auto Reply = internal::replyOf(*Settled);
   Trace.Call = Opened->Id.Call;
   Trace.Attempts.push_back(
       {Opened->Id.Attempt, Opened->Sent.Endpoint,
        Reply ? "answered" : answerOf(Reply.error().Kind).Name});
   if (!Reply)
-    return refused(Reply.error());
+    return Reply;
   countUse(HistoryBefore, Reply->Use);
+  std::lock_guard<std::mutex> Filling(Mutex);
+  Budgets =
+      onSuccess(std::move(Budgets), Opened->Sent.Endpoint, Settings.Retries);
   return Reply;
 }
 
--- a/packages/entry/src/OwnerImpl.h
+++ b/packages/entry/src/OwnerImpl.h
@@ -69,6 +69,11 @@
   void countUse(TokenCount HistoryBefore, const TokenUse &Use);
   void remember(CallTrace Trace);
   Expected<CallReply> refused(const Error &Why);
+  /// Whether a failed attempt is made again: waits as long as it should, or
+  /// gives the final error.
+  Expected<void> mayRetry(const CallOrder &Order, const Error &Failure,
+                          std::vector<EndpointId> &Tried, unsigned Attempts,
+                          TimePoint Deadline);
   Error provable(const CallOrder &Order, Error Why);
 
   /// Ends a program and frees its engine memory.
@@ -91,6 +96,7 @@
   /// Attempts that a thread of this process is waiting for.
   std::set<AttemptId> Local;
   OwnerCounts Counts;
+  RetryBudgets Budgets;
 };
 
 } // namespace tamarack
