--- a/packages/entry/include/tamarack/entry/ShardTable.h
+++ b/packages/entry/include/tamarack/entry/ShardTable.h
@@ -77,8 +77,9 @@
   /// later append succeeds at this epoch.
   Expected<void> append(OwnedShard &Shard, const std::vector<Append> &Entries);
 
-  /// Whether this process owned \p Shard just now: every copy confirms its
-  /// epoch. Without that, what it remembers proves nothing about a request.
+  /// Asks every copy whether \p Shard is still owned here. Only then may "not
+  /// run" be answered from memory: a later owner may have run the request. A
+  /// failure loses the shard.
   Expected<void> confirm(OwnedShard &Shard);
 
   /// Forgets what is known of the owner of \p Shard elsewhere.
--- a/packages/entry/src/Owner.cpp
+++ b/packages/entry/src/Owner.cpp
@@ -116,6 +116,15 @@
   return tl::make_unexpected(Why);
 }
 
+Error Owner::Impl::confirmed(const ServedFamily &Where, const Error &Why) {
+  if (Why.Proof != NotRun::Proved || Shards.confirm(*Where.Shard))
+    return Why;
+  return {ErrorKind::Fenced,
+          "the shard was lost before: " + Why.Message,
+          NotRun::Unproved,
+          {}};
+}
+
 Expected<CallReply> Owner::call(const CallOrder &Order,
                                 const PartSink &OnPart) {
   CallTrace Trace;
@@ -124,9 +133,7 @@
   Trace.Class = Order.Class;
   auto Reply = State->serveCall(Order, OnPart, Trace);
   if (!Reply) {
-    const Error Why = State->provable(Order, Reply.error());
-    Reply = tl::make_unexpected(Why);
-    Trace.Refusal = Why;
+    Trace.Refusal = Reply.error();
   }
   State->remember(std::move(Trace));
   return Reply;
@@ -160,20 +167,6 @@
   return {};
 }
 
-/// An earlier sending of the same request may have run under another owner.
-/// "Not run" is therefore only said of a request that carries a name of its
-/// own when every copy confirms that this process still owns the program.
-Error Owner::Impl::provable(const CallOrder &Order, Error Why) {
-  if (Why.Proof == NotRun::Unproved || !mayBeRepeated(Order) ||
-      Why.Kind == ErrorKind::MalformedRequest)
-    return Why;
-  const auto Where = serve(Order.Program);
-  if (Where && Shards.confirm(*Where->Shard))
-    return Why;
-  Why.Proof = NotRun::Unproved;
-  return Why;
-}
-
 Expected<CallReply> Owner::Impl::serveCall(const CallOrder &Order,
                                            const PartSink &OnPart,
                                            CallTrace &Trace) {
@@ -187,11 +180,13 @@
   std::vector<EndpointId> Tried;
   bool MayHaveRun = false;
   unsigned Attempts = 0;
+  bool Unconfirmed = false;
   while (true) {
     const auto Where = Self.serve(Order.Program);
     if (!Where) {
       Error Why = Where.error();
-      if (MayHaveRun)
+      // Without a copy nobody knows what became of an earlier sending.
+      if (MayHaveRun || Unconfirmed || mayBeRepeated(Order))
         Why.Proof = NotRun::Unproved;
       return Self.refused(Why);
     }
@@ -199,6 +194,13 @@
     Self.resolveOpen(*Where, Lock);
     if (Where->Shard->Lost)
       continue;
+    const auto Root = Where->Held->State.Programs.find(rootOf(Order.Program));
+    if (Root != Where->Held->State.Programs.end() &&
+        Root->second.Start.Customer != Order.Customer)
+      return Self.refused({ErrorKind::UnknownProgram,
+                           "no program " + Order.Program.text() + " has begun",
+                           NotRun::Proved,
+                           {}});
     CallRequest Request = *Asked;
     internal::addHistory(Request, Where->Held->State);
     const CallDecision Decision =
@@ -207,7 +209,7 @@
       if (Refused->EndRecord &&
           Self.record(*Where, {*Refused->EndRecord}).has_value())
         Self.releaseEverywhere(Where->Held->State);
-      return Self.refused(Refused->Why);
+      return Self.refused(Self.confirmed(*Where, Refused->Why));
     }
     if (const auto *Stored = std::get_if<StoredAnswer>(&Decision)) {
       {
@@ -224,6 +226,11 @@
           *Where, Lock, Order, Request, *Start,
           Attempts == 0 ? OnPart : [](const CallPart &) {}, Tried, Trace,
           Deadline);
+      if (!Reply && Where->Shard->Lost && Tried.empty() && !Unconfirmed) {
+        // Nothing was sent; a new claim tells whether the request has run.
+        Unconfirmed = true;
+        continue;
+      }
       if (Reply)
         return Reply;
       if (Lock.owns_lock())
@@ -239,12 +246,13 @@
     const TimePoint Now = Self.Time.now();
     if (Now >= Deadline) {
       const bool Joining = std::holds_alternative<JoinCall>(Decision);
-      return Self.refused(
-          {Joining ? ErrorKind::Timeout : ErrorKind::WrongSequence,
-           Joining ? "the call still runs"
-                   : "an earlier call of the program did not come or end",
-           Joining || MayHaveRun ? NotRun::Unproved : NotRun::Proved,
-           {}});
+      return Self.refused(Self.confirmed(
+          *Where, {Joining ? ErrorKind::Timeout : ErrorKind::WrongSequence,
+                   Joining ? "the call still runs"
+                           : "an earlier call of the program did not come or "
+                             "end",
+                   Joining || MayHaveRun ? NotRun::Unproved : NotRun::Proved,
+                   {}}));
     }
     {
       std::lock_guard<std::mutex> Counting(Self.Mutex);
--- a/packages/entry/src/OwnerAttempt.cpp
+++ b/packages/entry/src/OwnerAttempt.cpp
@@ -105,13 +105,12 @@
   Records.push_back({Order.Program, Sent});
   const auto Written = record(Where, Records);
   if (!Written && Written.error().Kind == ErrorKind::Fenced)
-    // A later owner may have run the same request.
     return refuse(ErrorKind::Fenced, "another entry owns the program");
   if (!Written)
-    // The intent is not known to be on every copy, so it is never sent.
+    // The intent is not known to be on every copy, so it is never sent. Yet a
+    // later owner may have run the same request.
     return refuse(ErrorKind::NotEnoughCopies,
-                  "the intent could not be kept: " + Written.error().Message,
-                  NotRun::Proved);
+                  "the intent could not be kept: " + Written.error().Message);
   return OpenAttempt{
       {Order.Program, Start.Call, Start.Attempt}, View->Instance, Sent};
 }
@@ -122,7 +121,7 @@
     std::vector<EndpointId> &Tried, CallTrace &Trace, TimePoint Deadline) {
   const auto Opened = openAttempt(Where, Order, Request, Start, Tried, Trace);
   if (!Opened)
-    return tl::make_unexpected(Opened.error());
+    return tl::make_unexpected(confirmed(Where, Opened.error()));
   Tried.push_back(Opened->Sent.Endpoint);
   const Family &Now = Where.Held->State;
   const ProgramState &Program = Now.Programs.at(Order.Program);
@@ -274,9 +273,18 @@
           Program->second.Running == Attempt.Id.Call &&
           Program->second.Calls.at(Attempt.Id.Call).Sent.Attempt ==
               Attempt.Id.Attempt;
-      if (!Open)
+      if (!Open && !Where->Shard->Lost) {
+        // The append whose answer was lost, or another owner, may have
+        // settled it with this very result.
+        const bool Kept =
+            Program != Programs.end() &&
+            Program->second.Calls.count(Attempt.Id.Call) != 0 &&
+            Program->second.Calls.at(Attempt.Id.Call).Done == Done;
+        if (Kept)
+          return answerFor(Program->second.Calls.at(Attempt.Id.Call));
         return refuse(ErrorKind::Fenced, "another owner settled the call");
-      if (record(*Where, {Record{Attempt.Id.Program, Done}}))
+      }
+      if (Open && record(*Where, {Record{Attempt.Id.Program, Done}}))
         return answerFor(Where->Held->State.Programs.at(Attempt.Id.Program)
                              .Calls.at(Attempt.Id.Call));
     } else if (Where.error().Kind == ErrorKind::Fenced) {
--- a/packages/entry/src/OwnerImpl.h
+++ b/packages/entry/src/OwnerImpl.h
@@ -74,7 +74,8 @@
   Expected<void> mayRetry(const CallOrder &Order, const Error &Failure,
                           std::vector<EndpointId> &Tried, unsigned Attempts,
                           TimePoint Deadline);
-  Error provable(const CallOrder &Order, Error Why);
+  /// \p Why if its proof still holds, else that the shard was lost.
+  Error confirmed(const ServedFamily &Where, const Error &Why);
 
   /// Ends a program and frees its engine memory.
   Expected<void> end(const ServedFamily &Where, const ProgramId &Program);
--- a/packages/entry/src/ShardTable.cpp
+++ b/packages/entry/src/ShardTable.cpp
@@ -165,14 +165,15 @@
 }
 
 Expected<void> ShardTable::confirm(OwnedShard &Shard) {
-  for (const CopyPlace &Place : Shard.Copies) {
-    // Sealing again at the same epoch changes nothing, and is refused once
-    // another owner has sealed a later one.
-    if (auto Same = State->Copies.seal(Place, Shard.Number, Shard.At); !Same) {
+  if (Shard.Lost)
+    return refuse(ErrorKind::Fenced, "the shard has another owner");
+  // Sealing again at the epoch that is sealed changes nothing.
+  for (const CopyPlace &Place : Shard.Copies)
+    if (auto Sealed = State->Copies.seal(Place, Shard.Number, Shard.At);
+        !Sealed) {
       Shard.Lost = true;
-      return Same;
+      return Sealed;
     }
-  }
   return {};
 }
 
