--- a/packages/entry/test/OwnerTest.cpp
+++ b/packages/entry/test/OwnerTest.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <thread>
 
 namespace tamarack {
@@ -272,7 +273,7 @@
   const std::vector<std::string> Entries{"e1", "e1", "e2", "e3"};
   for (std::size_t Turn = 0; Turn < Entries.size(); ++Turn) {
     const std::string &Entry = Entries[Turn];
-    const std::string Before = Entries[Turn == 0 ? 0 : Turn - 1];
+    const std::string &Before = Entries[Turn == 0 ? 0 : Turn - 1];
     if (Before != Entry)
       World.entry(Entry).Ports.TakenForGone = {InstanceId(Before)};
     CallOrder Order = chat("p", "question " + std::to_string(Turn));
