--- a/packages/processes/test/ProcessesTest.cpp
+++ b/packages/processes/test/ProcessesTest.cpp
@@ -91,6 +91,7 @@
 BOOST_AUTO_TEST_CASE(RunsOnceWhenItIsSentThroughAllEntriesAtOnce) {
   Cluster Deployment({std::chrono::milliseconds(300)});
   std::vector<std::future<Answer>> Sent;
+  Sent.reserve(9);
   for (int Copy = 0; Copy < 9; ++Copy)
     Sent.push_back(std::async(std::launch::async, [&Deployment, Copy] {
       return Deployment.payout(Copy % Cluster::Entries + 1, "payout-raced");
@@ -270,6 +271,7 @@
 BOOST_AUTO_TEST_CASE(HasOneWinnerWhenOperatorsRace) {
   Cluster Deployment;
   std::vector<std::future<Answer>> Sent;
+  Sent.reserve(6);
   for (int Operator = 0; Operator < 6; ++Operator)
     Sent.push_back(std::async(std::launch::async, [&Deployment, Operator] {
       const Json Document{{"defaults", {{"max_turns", 20 + Operator}}},
