Split the owner's call path and the copy messages into units of their own

A call in service is now a small class with one step for each decision, in ServeCall.cpp; the copy messages are in CopyServer. Comparing secrets stood twice, as did reading the bearer key; base/SecretCompare.h and config/Keys.h serve both.

Behaviour is unchanged.

--- a/packages/config/src/Keys.cpp
+++ b/packages/config/src/Keys.cpp
@@ -1,5 +1,7 @@
 #include "tamarack/config/Keys.h"
 
+#include "tamarack/base/SecretCompare.h"
+
 #include "StrictJson.h"
 
 #include <algorithm>
@@ -63,14 +65,7 @@
 }
 
 bool matches(const Key &Own, std::string_view Presented) {
-  const std::string &Secret = Own.secret();
-  // volatile keeps the compiler from leaving the loop at a difference.
-  volatile unsigned Difference = Secret.size() == Presented.size() ? 0U : 1U;
-  for (std::size_t I = 0; I < Presented.size(); ++I) {
-    const char Mine = Secret.empty() ? '\0' : Secret[I % Secret.size()];
-    Difference = Difference | static_cast<unsigned char>(Mine ^ Presented[I]);
-  }
-  return Difference == 0 && !Secret.empty();
+  return isSameSecret(Own.secret(), Presented);
 }
 
 Expected<CallerKeys> loadCallerKeys(const std::string &Path) {
--- a/packages/daemon/src/HttpServe.cpp
+++ b/packages/daemon/src/HttpServe.cpp
@@ -1,5 +1,7 @@
 #include "HttpServe.h"
 
+#include "tamarack/config/Keys.h"
+
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
@@ -136,10 +138,8 @@
 }
 
 std::string bearerKey(const Poco::Net::HTTPServerRequest &Request) {
-  const std::string Prefix = "Bearer ";
-  const std::string Given = Request.get("Authorization", "");
-  return Given.rfind(Prefix, 0) == 0 ? Given.substr(Prefix.size())
-                                     : std::string();
+  return std::string(
+      tamarack::bearerKey(Request.get("Authorization", std::string())));
 }
 
 } // namespace internal
--- a/packages/entry/include/tamarack/entry/Owner.h
+++ b/packages/entry/include/tamarack/entry/Owner.h
@@ -104,8 +104,10 @@
   std::optional<CallTrace> trace(const CallId &Call,
                                  const ProgramId &Program) const;
 
-private:
+  /// The units of this package share it; it is of no use to others.
   struct Impl;
+
+private:
   std::unique_ptr<Impl> State;
 };
 
--- a/packages/entry/src/Owner.cpp
+++ b/packages/entry/src/Owner.cpp
@@ -3,14 +3,10 @@
 #include "tamarack/members/Ownership.h"
 
 #include <algorithm>
-#include <thread>
 
 namespace tamarack {
 namespace {
 
-/// Longest uninterrupted wait for another call of the program.
-constexpr Duration WaitStep = std::chrono::milliseconds(200);
-
 /// Traces that are kept for explain.
 constexpr std::size_t MaxTraces = 2000;
 
@@ -141,131 +137,6 @@
   return Reply;
 }
 
-Expected<void> Owner::Impl::mayRetry(const CallOrder &Order,
-                                     const Error &Failure,
-                                     std::vector<EndpointId> &Tried,
-                                     unsigned Attempts, TimePoint Deadline) {
-  // Nothing was sent, or the outcome could not be kept here: no matter of the
-  // endpoint, and the router finds who serves the program now.
-  const bool OfTheLog = Failure.Kind == ErrorKind::Fenced ||
-                        Failure.Kind == ErrorKind::NotEnoughCopies;
-  if (Tried.empty() || OfTheLog)
-    return tl::make_unexpected(Failure);
-  FailedAttempt Failed{Failure,  Tried.back(), Order.Repeatable,
-                       Attempts, Deadline,     Tried};
-  std::unique_lock<std::mutex> Lock(Mutex);
-  RetryOutcome Outcome = decideRetry(Failed, std::move(Budgets),
-                                     Settings.Retries, Time.now(), Draw());
-  Budgets = std::move(Outcome.Budgets);
-  if (const auto *End = std::get_if<GiveUp>(&Outcome.Decision)) {
-    ++Counts.GaveUp[End->Reason];
-    return tl::make_unexpected(End->Final);
-  }
-  const auto &Again = std::get<Retry>(Outcome.Decision);
-  ++Counts.Retried[Again.Reason];
-  Tried = Again.Exclude;
-  Lock.unlock();
-  std::this_thread::sleep_for(Again.After);
-  return {};
-}
-
-Expected<CallReply> Owner::Impl::serveCall(const CallOrder &Order,
-                                           const PartSink &OnPart,
-                                           CallTrace &Trace) {
-  Impl &Self = *this;
-  const TimePoint Deadline = Self.Time.now() + Order.Remaining;
-  const CallId Call(Self.Fresh());
-  Trace.Call = Call;
-  const auto Asked = internal::requestOf(Order, Call, Self.nowMs());
-  if (!Asked)
-    return Self.refused(Asked.error());
-  std::vector<EndpointId> Tried;
-  bool MayHaveRun = false;
-  unsigned Attempts = 0;
-  bool Unconfirmed = false;
-  while (true) {
-    const auto Where = Self.serve(Order.Program);
-    if (!Where) {
-      Error Why = Where.error();
-      // Without a copy nobody knows what became of an earlier sending.
-      if (MayHaveRun || Unconfirmed || mayBeRepeated(Order))
-        Why.Proof = NotRun::Unproved;
-      return Self.refused(Why);
-    }
-    FamilyLock Lock(Where->Held->Mutex);
-    Self.resolveOpen(*Where, Lock);
-    if (Where->Shard->Lost)
-      continue;
-    const auto Root = Where->Held->State.Programs.find(rootOf(Order.Program));
-    if (Root != Where->Held->State.Programs.end() &&
-        Root->second.Start.Customer != Order.Customer)
-      return Self.refused({ErrorKind::UnknownProgram,
-                           "no program " + Order.Program.text() + " has begun",
-                           NotRun::Proved,
-                           {}});
-    CallRequest Request = *Asked;
-    internal::addHistory(Request, Where->Held->State);
-    const CallDecision Decision =
-        decideCall(Where->Held->State, Request, Self.nowMs());
-    if (const auto *Refused = std::get_if<Refuse>(&Decision)) {
-      if (Refused->EndRecord &&
-          Self.record(*Where, {*Refused->EndRecord}).has_value())
-        Self.releaseEverywhere(Where->Held->State);
-      return Self.refused(Self.confirmed(*Where, Refused->Why));
-    }
-    if (const auto *Stored = std::get_if<StoredAnswer>(&Decision)) {
-      {
-        std::lock_guard<std::mutex> Counting(Self.Mutex);
-        ++Self.Counts.Stored;
-      }
-      auto Reply = internal::replyOf(Stored->Answer);
-      if (Reply)
-        Reply->Stored = Attempts == 0;
-      return Reply;
-    }
-    if (const auto *Start = std::get_if<StartCall>(&Decision)) {
-      auto Reply = Self.start(
-          *Where, Lock, Order, Request, *Start,
-          Attempts == 0 ? OnPart : [](const CallPart &) {}, Tried, Trace,
-          Deadline);
-      if (!Reply && Where->Shard->Lost && Tried.empty() && !Unconfirmed) {
-        // Nothing was sent; a new claim tells whether the request has run.
-        Unconfirmed = true;
-        continue;
-      }
-      if (Reply)
-        return Reply;
-      if (Lock.owns_lock())
-        Lock.unlock();
-      ++Attempts;
-      if (auto Again =
-              Self.mayRetry(Order, Reply.error(), Tried, Attempts, Deadline);
-          !Again)
-        return Self.refused(Again.error());
-      MayHaveRun = MayHaveRun || Reply.error().Proof == NotRun::Unproved;
-      continue;
-    }
-    const TimePoint Now = Self.Time.now();
-    if (Now >= Deadline) {
-      const bool Joining = std::holds_alternative<JoinCall>(Decision);
-      return Self.refused(Self.confirmed(
-          *Where, {Joining ? ErrorKind::Timeout : ErrorKind::WrongSequence,
-                   Joining ? "the call still runs"
-                           : "an earlier call of the program did not come or "
-                             "end",
-                   Joining || MayHaveRun ? NotRun::Unproved : NotRun::Proved,
-                   {}}));
-    }
-    {
-      std::lock_guard<std::mutex> Counting(Self.Mutex);
-      ++(std::holds_alternative<JoinCall>(Decision) ? Self.Counts.Joined
-                                                    : Self.Counts.Waited);
-    }
-    Where->Held->Changed.wait_for(Lock,
-                                  std::min<Duration>(WaitStep, Deadline - Now));
-  }
-}
-
 Expected<ProgramReport> Owner::program(const ProgramOrder &Order) {
   const auto Where = State->serve(Order.Program);
   if (!Where)
--- a/packages/wire/src/LinkServer.cpp
+++ b/packages/wire/src/LinkServer.cpp
@@ -1,5 +1,6 @@
 #include "Silence.h"
 #include "WireLoopImpl.h"
+#include "tamarack/base/SecretCompare.h"
 
 #include <Poco/Runnable.h>
 #include <Poco/ThreadPool.h>
@@ -20,16 +21,6 @@
 /// How long a stop waits for peers to agree that connections end.
 constexpr Duration CloseLimit = std::chrono::seconds(1);
 
-/// Compares in a time that does not depend on where the texts differ.
-bool isSameKey(const std::string &Left, const std::string &Right) {
-  unsigned char Difference = Left.size() == Right.size() ? 0 : 1;
-  for (std::size_t At = 0; At < Left.size(); ++At) {
-    const char Other = At < Right.size() ? Right[At] : '\0';
-    Difference |= static_cast<unsigned char>(Left[At] ^ Other);
-  }
-  return Difference == 0;
-}
-
 /// A task that deletes itself once it has run.
 class Task : public Poco::Runnable {
 public:
@@ -88,7 +79,7 @@
   bool validate(const Handle &From) {
     const auto Connection = Endpoint.get_con_from_hdl(From);
     const std::string &Given = Connection->get_request_header("Authorization");
-    const bool Known = isSameKey(Given, "Bearer " + Settings.Key);
+    const bool Known = isSameSecret("Bearer " + Settings.Key, Given);
     if (!Known) {
       std::lock_guard<std::mutex> Lock(Mutex);
       ++Counts.RefusedKeys;
