Bound the time that engines and the platform may stay silent

Cause: POCO's client session sets its time limit only on sockets that it connects itself, and ours are connected before, so that what was not sent is known. A connection to an engine that went silent therefore held a stream until the caller's deadline. The limits are now set on the socket.

Ruled out: the resume itself, which had not been reached. A second test has the platform hang.

--- a/packages/daemon/src/HttpCall.cpp
+++ b/packages/daemon/src/HttpCall.cpp
@@ -51,6 +51,9 @@
     Poco::Net::StreamSocket Socket;
     Socket.connect(Poco::Net::SocketAddress(To.Host, To.Port), spanOf(Limit));
     Socket.setNoDelay(true);
+    // The session sets its own time limit only on sockets that it connects.
+    Socket.setReceiveTimeout(spanOf(Limit));
+    Socket.setSendTimeout(spanOf(Limit));
     Poco::Net::HTTPClientSession Session(Socket);
     Session.setTimeout(spanOf(Limit));
     Connected = true;
--- a/packages/processes/test/Cluster.cpp
+++ b/packages/processes/test/Cluster.cpp
@@ -368,6 +368,10 @@
   HttpJson(local(KvPort)).post("/v1/faults", Faults);
 }
 
+void Cluster::engineFaults(int Engine, const Json &Faults) {
+  HttpJson(local(EnginePort + Engine)).post("/v1/faults", Faults);
+}
+
 int Cluster::engineRequests(int Engine) {
   const auto Answer = HttpJson(local(EnginePort + Engine)).get("/v1/stats");
   return Answer ? Answer->Body.value("requests", 0) : -1;
--- a/packages/processes/test/Cluster.h
+++ b/packages/processes/test/Cluster.h
@@ -73,6 +73,7 @@
   /// the shards' keys.
   std::vector<std::string> owners();
   void platformFaults(const Json &Faults);
+  void engineFaults(int Engine, const Json &Faults);
   /// How many requests each engine process has got.
   int engineRequests(int Engine);
 
--- a/packages/processes/test/ProcessesTest.cpp
+++ b/packages/processes/test/ProcessesTest.cpp
@@ -8,7 +8,9 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <future>
+#include <iterator>
 #include <set>
+#include <sstream>
 
 using namespace tamarack;
 
@@ -35,6 +37,17 @@
   return numberOf(Instance) % Cluster::Entries + 1;
 }
 
+/// The words of the answer in the events of a stream.
+int wordsIn(const std::vector<Json> &Events) {
+  std::string Content;
+  for (const Json &Event : Events)
+    if (Event.contains("choices"))
+      Content += Event["choices"][0]["delta"].value("content", "");
+  std::istringstream Words(Content);
+  return static_cast<int>(
+      std::distance(std::istream_iterator<std::string>(Words), {}));
+}
+
 std::string historyOf(Cluster &Deployment, int Entry,
                       const std::string &Program) {
   const auto Report = Deployment.program(Entry, Program);
@@ -165,6 +178,25 @@
   BOOST_TEST(historyOf(Deployment, 2, "brief-2") == "ua");
 }
 
+BOOST_AUTO_TEST_CASE(GetsItsWholeAnswerWhenConnectionsToTheEngineGoSilent) {
+  Cluster Deployment({std::chrono::milliseconds(0), 20});
+  const int Before[] = {Deployment.engineRequests(1),
+                        Deployment.engineRequests(2)};
+  auto Stream = std::async(std::launch::async, [&] {
+    return Deployment.streamedTurn(1, "brief-9", 1, "one", 100);
+  });
+  BOOST_TEST(Cluster::eventually([&] {
+    return Deployment.engineRequests(1) > Before[0] ||
+           Deployment.engineRequests(2) > Before[1];
+  }));
+  const int Engine = Deployment.engineRequests(1) > Before[0] ? 1 : 2;
+  Deployment.engineFaults(Engine, {{"silence_open", true}});
+  const auto Events = Stream.get();
+  BOOST_REQUIRE_MESSAGE(Events.has_value(),
+                        (Events ? std::string() : Events.error().Message));
+  BOOST_TEST(wordsIn(*Events) == 100);
+}
+
 BOOST_AUTO_TEST_CASE(GoesOnThroughAnOutageOfThePlatform) {
   Cluster Deployment;
   BOOST_TEST(Deployment.turn(1, "brief-3", 1, "one")->Status == 200);
@@ -176,6 +208,24 @@
   BOOST_TEST(historyOf(Deployment, 3, "brief-3") == "uaua");
 }
 
+BOOST_AUTO_TEST_CASE(IsServedOrRefusedWhileThePlatformHangs) {
+  Cluster Deployment;
+  BOOST_TEST(Deployment.turn(1, "brief-10", 1, "one")->Status == 200);
+  Deployment.platformFaults({{"delay_ms", 60000}});
+  const Answer Second = Deployment.turn(2, "brief-10", 2, "two");
+  BOOST_REQUIRE(Second.has_value());
+  BOOST_TEST(Second->Status == 200, show(Second));
+  for (int Program = 0; Program < 6; ++Program) {
+    const Answer First =
+        Deployment.turn(1, "hangs-" + std::to_string(Program), 1, "one");
+    BOOST_REQUIRE(First.has_value());
+    const bool Refused =
+        First->Status == 503 && First->Headers.count("Retry-After") == 1;
+    BOOST_TEST((First->Status == 200 || Refused), show(First));
+  }
+  Deployment.platformFaults({{"delay_ms", 0}});
+}
+
 BOOST_AUTO_TEST_CASE(BeginsThoughAnswersOfThePlatformAreLost) {
   Cluster Deployment;
   Deployment.platformFaults({{"lose_answers", 2}});
@@ -321,11 +371,7 @@
   BOOST_TEST(Deployment.stop("beside-engine-" + std::to_string(Leaving)) == 0);
   const auto Events = Stream.get();
   BOOST_REQUIRE(Events.has_value());
-  std::string Content;
-  for (const Json &Event : *Events)
-    if (Event.contains("choices"))
-      Content += Event["choices"][0]["delta"].value("content", "");
-  BOOST_TEST(std::count(Content.begin(), Content.end(), ' ') >= 99, Content);
+  BOOST_TEST(wordsIn(*Events) == 100);
   for (int Program = 0; Program < 4; ++Program) {
     const Answer Next =
         Deployment.turn(2, "next-" + std::to_string(Program), 1, "one");
