--- a/packages/entry/src/ShardTable.cpp
+++ b/packages/entry/src/ShardTable.cpp
@@ -162,6 +162,12 @@
   if (const auto Known = State->knownElsewhere(Shard, Members))
     return ShardHome{nullptr, *Known};
   const auto Read = State->Records.read(Shard);
+  const auto Preferred = State->preferredHere(Shard, Members);
+  const bool IsPreferred =
+      !Preferred || *Preferred == State->Peers.self().Instance;
+  if (!Read && !MayClaim && !IsPreferred)
+    // Most shards are owned by their preferred entry, which needs no platform.
+    return ShardHome{nullptr, *Preferred};
   if (!Read) {
     Error Unread = Read.error();
     Unread.Proof = NotRun::Proved;
@@ -174,9 +180,7 @@
   }
   const bool WasHere =
       *Read && (*Read)->Value.Owner == State->Peers.self().Instance;
-  const auto Preferred = State->preferredHere(Shard, Members);
-  if (!MayClaim && !WasHere && Preferred &&
-      *Preferred != State->Peers.self().Instance)
+  if (!MayClaim && !WasHere && !IsPreferred)
     return ShardHome{nullptr, *Preferred};
   return State->claim(Shard, *Read);
 }
