--- a/packages/daemon/src/CallersHttp.cpp
+++ b/packages/daemon/src/CallersHttp.cpp
@@ -311,6 +311,8 @@
       Requests.program({internalId(Customer, Id), Customer, End, 0});
   if (!Report)
     return sendError(Response, Report.error());
+  if (Report->Took)
+    Measured.observe(Timing::Program, *Report->Took);
   Json History = Json::array();
   for (const std::string &Message : Report->History)
     History.push_back(Json::parse(Message, nullptr, false));
--- a/packages/entry/include/tamarack/entry/Messages.h
+++ b/packages/entry/include/tamarack/entry/Messages.h
@@ -112,10 +112,12 @@
   std::vector<ProgramId> SubAgents;
   /// Where the last call ran.
   EndpointId LastEndpoint;
+  /// Set when this very order ended the program: how long it took.
+  std::optional<Duration> Took;
 
   NLOHMANN_DEFINE_TYPE_INTRUSIVE(ProgramReport, Program, Budget, Reserved,
                                  Settled, Turns, NextSequence, Ended, History,
-                                 SubAgents, LastEndpoint)
+                                 SubAgents, LastEndpoint, Took)
 };
 
 /// Asks the owner for the state of a program, or ends it.
--- a/packages/entry/src/Owner.cpp
+++ b/packages/entry/src/Owner.cpp
@@ -150,11 +150,17 @@
     return refuse(ErrorKind::UnknownProgram,
                   "no program " + Order.Program.text() + " has begun",
                   NotRun::Proved);
-  if (Order.End && !Found->second.End) {
+  const bool EndsNow = Order.End && !Found->second.End;
+  if (EndsNow) {
     if (auto Ended = State->end(*Where, Order.Program); !Ended)
       return tl::make_unexpected(Ended.error());
   }
-  return reportOf(Where->Held->State, Order.Program);
+  ProgramReport Report = reportOf(Where->Held->State, Order.Program);
+  if (EndsNow)
+    Report.Took = std::chrono::milliseconds(
+        State->nowMs() -
+        Where->Held->State.Programs.at(Order.Program).Start.StartedMs);
+  return Report;
 }
 
 Expected<bool> Owner::isAlive(const ProgramId &Program, Duration IdleLimit) {
--- a/packages/processes/test/ProcessesTest.cpp
+++ b/packages/processes/test/ProcessesTest.cpp
@@ -290,6 +290,21 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(Metrics)
+
+BOOST_AUTO_TEST_CASE(CountAProgramOnceWhenItIsEndedTwice) {
+  Cluster Deployment;
+  BOOST_TEST(Deployment.turn(1, "brief-11", 1, "one")->Status == 200);
+  BOOST_TEST(Deployment.end(1, "brief-11")->Status == 200);
+  BOOST_TEST(Deployment.end(1, "brief-11")->Status == 200);
+  const Answer Scraped = Deployment.unkeyed(1, "/metrics");
+  BOOST_REQUIRE(Scraped.has_value());
+  BOOST_TEST(Scraped->Text.find("tamarack_program_seconds_count 1") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(Configuration)
 
 BOOST_AUTO_TEST_CASE(IsInForceEverywhereWithinSecondsAndAfterARestart) {
