--- a/packages/daemon/src/CallersHttp.cpp
+++ b/packages/daemon/src/CallersHttp.cpp
@@ -197,10 +197,11 @@
                        Poco::Net::HTTPServerResponse &Response) {
   const TimePoint Started = Time.now();
   auto Body = readBody(Request, Settings.MaxBodyBytes);
-  if (!Body)
+  if (!Body) {
+    // What is left of the body is not read.
     Response.setKeepAlive(false);
-  if (!Body)
     return refuseHere(Response, Body.error());
+  }
   const Json Parsed = Json::parse(*Body, nullptr, false);
   if (!Parsed.is_object())
     return refuseHere(Response,
@@ -259,10 +260,11 @@
                           Poco::Net::HTTPServerRequest &Request,
                           Poco::Net::HTTPServerResponse &Response) {
   auto Body = readBody(Request, Settings.MaxBodyBytes);
-  if (!Body)
+  if (!Body) {
+    // What is left of the body is not read.
     Response.setKeepAlive(false);
-  if (!Body)
     return refuseHere(Response, Body.error());
+  }
   const auto Slash = Path.find('/');
   auto Order =
       orderOf(Customer, Request, Path.substr(0, Slash), CallKind::Service);
--- a/packages/entry/src/Owner.cpp
+++ b/packages/entry/src/Owner.cpp
@@ -191,16 +191,17 @@
 }
 
 void Owner::Impl::releaseEverywhere(const Family &Now) {
-  std::map<EndpointId, std::vector<ProgramId>> Holding;
+  std::map<EndpointId, std::set<ProgramId>> Holding;
   for (const auto &[Program, Known] : Now.Programs)
     if (Known.End || Now.Programs.at(Now.Root).End)
       for (const auto &[Call, Sent] : Known.Calls)
-        Holding[Sent.Sent.Endpoint].push_back(Program);
+        Holding[Sent.Sent.Endpoint].insert(Program);
   for (const Member &Holder :
        membersIn(Peers.members(), MemberState::Leaving, Role::Endpoint)) {
     const auto Found = Holding.find(Holder.Endpoint);
     if (Found != Holding.end())
-      Endpoints.release(Holder.Instance, {Found->second});
+      Endpoints.release(Holder.Instance,
+                        {{Found->second.begin(), Found->second.end()}});
   }
 }
 
