Replace members of a view while two of five are lost, and spread them

Cause: a view of five members survives two losses, but a ledger that stands by only took a place if every other joined member answered. Two instances that were removed for good left the view at three members of five for ever, without room for a further loss.

Change: a ledger fetches from as many joined members as every kept record must share one with (members - copies + 1), or from all joined ones if they are fewer. A view whose only joined member does not answer is left alone; before, a fresh ledger could join it with nothing fetched. At the first start members spread over data centres, so that no region is without one by chance.

Ruled out: replacing two members in one change, which would let two quorums of neighbouring views miss each other.

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -11,6 +11,10 @@
 constexpr Duration LookPeriod = std::chrono::milliseconds(1000);
 /// Before a step that failed is tried again.
 constexpr Duration StepPause = std::chrono::milliseconds(200);
+/// At the first start, members spread over data centres for that long, so that
+/// each region has some of them. All processes start within 0.3 s, and traffic
+/// begins some 10 s later.
+constexpr Duration SpreadFor = std::chrono::milliseconds(1500);
 /// A member that answers no ping for that long is replaced by a ledger that
 /// stands by. Longer than a process takes to start again (about a second).
 constexpr Duration SuspectAfter = std::chrono::milliseconds(1500);
@@ -86,13 +90,15 @@
   const std::set<FolderId> Unreachable = co_await unreachableMembers();
   if (Before.Number != Known.Number)
     co_return;
-  const JoinPlan Plan =
-      planJoin(Before, self(), Unreachable, Options.Wanted, Options.FirstStart);
+  const bool Spread = Options.FirstStart && steadyNow() - StartedAt < SpreadFor;
+  const ViewRules Rules{Options.Wanted, Options.DurableCopies,
+                        Options.FirstStart, Spread};
+  const JoinPlan Plan = planJoin(Before, self(), Unreachable, Rules);
   if (!Plan.Next) {
     LogLine("ledger.outside")
         .with("view", Before.Number)
         .with("reason", Plan.Reason);
-    co_await ViewMoved.wait(steadyNow() + LookPeriod);
+    co_await ViewMoved.wait(steadyNow() + (Spread ? StepPause : LookPeriod));
     co_return;
   }
   const bool Done = co_await change(Before, *Plan.Next, Plan.Reason);
@@ -141,14 +147,21 @@
                        return Options.Distance(Left.DataCentre) <
                               Options.Distance(Right.DataCentre);
                      });
-  for (const ViewMember &Source : Sources)
-    Extra.push_back(Source.Address);
   for (const std::string &Address : Extra) {
     const bool Fetched = co_await fetchFrom(Address, Of);
     if (!Fetched)
       co_return false;
   }
-  co_return true;
+  std::size_t Complete = 0;
+  for (const ViewMember &Source : Sources) {
+    const bool Fetched = co_await fetchFrom(Source.Address, Of);
+    if (Fetched)
+      ++Complete;
+    if (Known.Number != Of.Number)
+      co_return false;
+  }
+  co_return Complete >=
+      sourcesNeeded(Of, Options.DurableCopies, Sources.size());
 }
 
 Task<bool> LedgerNode::Impl::fetchFrom(std::string Address, View Of) {
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -41,6 +41,7 @@
   std::uint64_t RecordsKept = 0;
   std::uint64_t Refused = 0;
   std::uint64_t BytesSinceRoll = 0;
+  const TimePoint StartedAt = steadyNow();
   bool Retiring = false;
   bool Stopped = false;
 
@@ -61,7 +62,8 @@
   Task<void> enterView();
   Task<void> becomeJoined();
   Task<std::set<FolderId>> unreachableMembers();
-  /// Fetches all that the joined members of \p Of, and \p Extra, hold.
+  /// Fetches what \p Extra and enough joined members of \p Of hold, so that it
+  /// has each record that is kept.
   Task<bool> fetchAll(View Of, std::vector<std::string> Extra);
   Task<bool> fetchFrom(std::string Address, View Of);
   Task<bool> change(View Before, View Next, std::string Reason);
--- a/packages/turns/include/tamarack/turns/View.h
+++ b/packages/turns/include/tamarack/turns/View.h
@@ -7,9 +7,10 @@
 ///   if (Plan.Next)
 ///     ... compare-and-swap *Plan.Next ...
 ///
-/// Every change replaces or removes at most one joined member. Two joined
-/// majorities of neighbouring views then share a ledger, or one of theirs
-/// fetched from all joined members before it was joined itself.
+/// Every change replaces or removes at most one joined member. A ledger is only
+/// joined after it fetched from so many joined members that each record which
+/// an earlier view kept lies on one of them; these refuse older views from then
+/// on.
 #ifndef TAMARACK_TURNS_VIEW_H
 #define TAMARACK_TURNS_VIEW_H
 
@@ -54,6 +55,26 @@
 const ViewMember *findMember(const View &In, const FolderId &Folder);
 /// How many members must answer: more than half of all, joined or not.
 std::size_t quorumOf(const View &Of);
+/// How many members have a record that is kept: a majority, and at least
+/// \p DurableCopies.
+std::size_t copiesOf(const View &Of, std::size_t DurableCopies);
+/// How many of \p Sources joined members a ledger must fetch from, so that each
+/// record that is kept is among what it fetched: all that there are, or so many
+/// that no quorum can do without them; never none.
+std::size_t sourcesNeeded(const View &Of, std::size_t DurableCopies,
+                          std::size_t Sources);
+
+/// What a deployment asks of its views.
+struct ViewRules {
+  /// Members that a view should name.
+  std::size_t Wanted = 3;
+  /// Disks that a record must lie on: the losses to survive, and one.
+  std::size_t DurableCopies = 2;
+  /// The whole system starts for the first time, with empty disks.
+  bool FirstStart = false;
+  /// Free places are left to data centres that have no member yet.
+  bool OnePerDataCentre = false;
+};
 
 struct JoinPlan {
   /// The view to write; nothing where the ledger is a member or stands by.
@@ -65,11 +86,10 @@
 
 /// How \p Self enters \p Current. \p Unreachable has the folders of members
 /// that answered nothing for the suspicion time; at most one of them is
-/// replaced, and only if all other joined members answer. \p FirstStart is true
-/// only when the whole system starts for the first time, with empty disks.
+/// replaced, and only if enough joined members answer to fetch from.
 JoinPlan planJoin(const View &Current, const ViewMember &Self,
-                  const std::set<FolderId> &Unreachable, std::size_t Wanted,
-                  bool FirstStart);
+                  const std::set<FolderId> &Unreachable,
+                  const ViewRules &Rules);
 
 /// \p Current with \p Folder marked as joined.
 View withJoined(const View &Current, const FolderId &Folder);
--- a/packages/turns/src/View.cpp
+++ b/packages/turns/src/View.cpp
@@ -21,13 +21,31 @@
   return nullptr;
 }
 
-bool othersAnswer(const View &Current, const ViewMember *Except,
-                  const std::set<FolderId> &Unreachable) {
-  return std::all_of(Current.Members.begin(), Current.Members.end(),
-                     [&](const ViewMember &Member) {
-                       return &Member == Except || !Member.Joined ||
-                              Unreachable.count(Member.Folder) == 0;
-                     });
+/// Whether enough joined members answer for a ledger to fetch from.
+bool mayFetch(const View &Current, const ViewMember *Lost,
+              const std::set<FolderId> &Unreachable,
+              std::size_t DurableCopies) {
+  std::size_t Sources = 0;
+  std::size_t Answering = 0;
+  for (const ViewMember &Member : Current.Members) {
+    if (&Member == Lost || !Member.Joined)
+      continue;
+    ++Sources;
+    Answering += Unreachable.count(Member.Folder) == 0 ? 1 : 0;
+  }
+  return Answering >= sourcesNeeded(Current, DurableCopies, Sources);
+}
+
+/// Whether no member that is left can hold a record: the only joined one lost
+/// its folder. One that merely does not answer may still hold some.
+bool isNothingLeft(const View &Current, const ViewMember *Lost,
+                   const ViewMember &Self) {
+  const bool LostForGood = Lost != nullptr && Lost->Instance == Self.Instance;
+  return std::none_of(Current.Members.begin(), Current.Members.end(),
+                      [&](const ViewMember &Member) {
+                        return Member.Joined &&
+                               !(LostForGood && &Member == Lost);
+                      });
 }
 
 } // namespace
@@ -75,26 +93,43 @@
 
 std::size_t quorumOf(const View &Of) { return Of.Members.size() / 2 + 1; }
 
+std::size_t copiesOf(const View &Of, std::size_t DurableCopies) {
+  return std::max(quorumOf(Of), DurableCopies);
+}
+
+std::size_t sourcesNeeded(const View &Of, std::size_t DurableCopies,
+                          std::size_t Sources) {
+  const std::size_t Members = Of.Members.size();
+  const std::size_t Copies = std::min(Members, copiesOf(Of, DurableCopies));
+  return std::max<std::size_t>(1, std::min(Sources, Members - Copies + 1));
+}
+
 JoinPlan planJoin(const View &Current, const ViewMember &Self,
-                  const std::set<FolderId> &Unreachable, std::size_t Wanted,
-                  bool FirstStart) {
+                  const std::set<FolderId> &Unreachable,
+                  const ViewRules &Rules) {
   if (findMember(Current, Self.Folder) != nullptr)
     return {{}, {}, "is a member"};
-  JoinPlan Plan;
-  View Next = Current;
   const ViewMember *Lost = memberToReplace(Current, Self, Unreachable);
-  if (Lost == nullptr && Current.Members.size() >= Wanted)
+  if (Lost == nullptr && Current.Members.size() >= Rules.Wanted)
     return {{}, {}, "stands by, the view is full"};
-  if (!othersAnswer(Current, Lost, Unreachable))
-    return {{}, {}, "waits, more than one member does not answer"};
+  const bool HasNeighbour =
+      std::any_of(Current.Members.begin(), Current.Members.end(),
+                  [&](const ViewMember &Member) {
+                    return Member.DataCentre == Self.DataCentre;
+                  });
+  if (Lost == nullptr && Rules.OnePerDataCentre && HasNeighbour)
+    return {{}, {}, "leaves the place to another data centre"};
+  const bool NothingToFetch =
+      Rules.FirstStart || isNothingLeft(Current, Lost, Self);
+  if (!NothingToFetch &&
+      !mayFetch(Current, Lost, Unreachable, Rules.DurableCopies))
+    return {{}, {}, "waits, too few joined members answer"};
+  JoinPlan Plan;
+  View Next = Current;
   if (Lost != nullptr) {
     Plan.Replaced = *Lost;
     Next = without(Current, Lost->Folder);
   }
-  const bool NothingToFetch =
-      FirstStart ||
-      std::none_of(Next.Members.begin(), Next.Members.end(),
-                   [](const ViewMember &Member) { return Member.Joined; });
   Next.Number = Current.Number + 1;
   Next.Members.push_back(Self);
   Next.Members.back().Joined = NothingToFetch;
