Send records to the nearest quorum, and to the rest only when it is slow

Cause: every record went to all members, though a majority decides. Entries in andes paid the way to costa for each turn, and with five members (two losses to survive) each turn cost ten frames out and ten back at entries of 0.09 cores and ledgers of 0.3 cores.

Change: the first members that make a quorum are asked, nearest first, equally near ones in an order that the program chooses; the rest after 80 ms, or at once when one of the first refused. Links of kept turns still go to all, since they extend how long earlier turns are kept. Safe because an account is merged from any quorum and two quorums share a member.

Ruled out: fewer records (a settlement joined to the next reservation), since a program may never send one.

--- a/packages/quorum/src/QuorumClient.cpp
+++ b/packages/quorum/src/QuorumClient.cpp
@@ -18,10 +18,10 @@
 /// Load is told that often: often enough to see a burst of some tens of turns
 /// a second, seldom enough to cost a few bytes a turn.
 constexpr Duration NotePeriod = std::chrono::milliseconds(40);
-/// A member that has not kept a text for that long is passed over for a while,
-/// and the text goes to the others too: a way between regions, a sync, and some
-/// load.
-constexpr Duration TextPatience = std::chrono::milliseconds(150);
+/// A member that has not kept a record for that long is passed over for a
+/// while, and the record goes to the others too: a way between regions of 40
+/// ms, a sync of 5 ms, and some load.
+constexpr Duration MemberPatience = std::chrono::milliseconds(80);
 constexpr Duration PassOverFor = std::chrono::seconds(1);
 /// The nearest member has this long before the others are asked for a chain.
 constexpr Duration NearestHeadStart = std::chrono::milliseconds(60);
@@ -33,10 +33,10 @@
   std::size_t Asked = 0;
   std::size_t Answered = 0;
   /// The addresses of members that have the record, that have its text too,
-  /// and that were given the text.
+  /// and that were given all there is to keep.
   std::set<std::string> Kept;
   std::set<std::string> TextKept;
-  std::set<std::string> TextAsked;
+  std::set<std::string> WholeAsked;
   ProgramState Known;
 };
 
@@ -68,7 +68,7 @@
   }
   void setView(const View &Next);
   std::size_t needed() const {
-    return std::max(quorumOf(Current), Options.DurableCopies);
+    return copiesOf(Current, Options.DurableCopies);
   }
   std::shared_ptr<LinkClient> linkTo(const ViewMember &Member) {
     return Links.at(Member.Address);
@@ -78,8 +78,8 @@
                  bool WithText, bool MayAdopt);
   void askRound(const TurnToKeep &Turn, TimePoint Deadline,
                 const std::shared_ptr<Round> &State);
-  /// Gives the text to the members that have not got it yet.
-  void spreadText(const TurnToKeep &Turn, TimePoint Deadline,
+  /// Gives the record to the members that have not got all of it yet.
+  void askTheRest(const TurnToKeep &Turn, TimePoint Deadline,
                   const std::shared_ptr<Round> &State);
   /// One turn and what the members that answered hold before it.
   Task<Expected<TurnChain>> chainPart(TurnId Turn, TimePoint Deadline);
@@ -88,7 +88,8 @@
   void askForChain(const ViewMember &Member, const LinkBody &Body,
                    TimePoint Deadline, const std::shared_ptr<ChainRound> &State,
                    bool MayAdopt);
-  std::vector<ViewMember> joinedByDistance() const;
+  /// The nearest first; the equally near in an order that \p Key chooses.
+  std::vector<ViewMember> joinedByDistance(const std::string &Key) const;
   Task<Expected<ProgramState>> keep(TurnToKeep Turn, TimePoint Deadline);
   void adoptThen(const std::shared_ptr<LinkClient> &Link, TimePoint Deadline,
                  std::function<void()> Next);
@@ -167,47 +168,56 @@
   Link->call(calls::Record, Body, Deadline, Done);
 }
 
+/// The nearest members that make a quorum get the record. Where it has a text,
+/// the others get its link, for they may keep the turns before it.
 void QuorumClient::Impl::askRound(const TurnToKeep &Turn, TimePoint Deadline,
                                   const std::shared_ptr<Round> &State) {
   const std::uint64_t Number = Current.Number;
   const bool HasText = Turn.Record.Text != nullptr;
+  const std::size_t Needed = needed();
   RecordCall Call{Number, Turn.Record, Turn.RanAt, {}};
   const LinkBody Whole = encodeBody(Call);
-  if (HasText)
-    Call.Record = withoutText(Turn.Record);
-  const LinkBody Light = HasText ? encodeBody(Call) : Whole;
   Call.Note = nextNote();
-  const LinkBody Noted = Call.Note ? encodeBody(Call) : Light;
+  const LinkBody Noted = Call.Note ? encodeBody(Call) : Whole;
+  LinkBody Light;
+  if (HasText) {
+    Call = {Number, withoutText(Turn.Record), Turn.RanAt, {}};
+    Light = encodeBody(Call);
+  }
   bool NearestTold = false;
-  for (const ViewMember &Member : joinedByDistance()) {
+  for (const ViewMember &Member :
+       joinedByDistance(Turn.Record.Program.text())) {
     if (Number != Current.Number)
       return;
-    const bool WithText =
-        HasText && State->TextAsked.size() < Options.DurableCopies;
-    if (WithText)
-      State->TextAsked.insert(Member.Address);
+    const bool InQuorum = State->WholeAsked.size() < Needed;
+    if (!InQuorum && !HasText)
+      return;
+    if (InQuorum)
+      State->WholeAsked.insert(Member.Address);
     // Other regions have endpoints of their own; a note costs bytes there.
     const bool Near = !NearestTold || isInRegion(Member);
     NearestTold = true;
     ++State->Asked;
     askToKeep(linkTo(Member),
-              WithText ? Whole
-              : Near   ? Noted
-                       : Light,
-              Deadline, State, WithText, true);
+              !InQuorum ? Light
+              : Near    ? Noted
+                        : Whole,
+              Deadline, State, HasText && InQuorum, true);
   }
 }
 
-void QuorumClient::Impl::spreadText(const TurnToKeep &Turn, TimePoint Deadline,
+void QuorumClient::Impl::askTheRest(const TurnToKeep &Turn, TimePoint Deadline,
                                     const std::shared_ptr<Round> &State) {
   const LinkBody Whole =
       encodeBody(RecordCall{Current.Number, Turn.Record, Turn.RanAt, {}});
-  for (const std::string &Slow : State->TextAsked)
-    PassedOver[Slow] = steadyNow() + PassOverFor;
-  for (const ViewMember &Member : joinedByDistance())
-    if (State->TextAsked.insert(Member.Address).second) {
+  for (const std::string &Asked : State->WholeAsked)
+    if (State->Kept.count(Asked) == 0)
+      PassedOver[Asked] = steadyNow() + PassOverFor;
+  for (const ViewMember &Member : joinedByDistance(Turn.Record.Program.text()))
+    if (State->WholeAsked.insert(Member.Address).second) {
       ++State->Asked;
-      askToKeep(linkTo(Member), Whole, Deadline, State, true, true);
+      askToKeep(linkTo(Member), Whole, Deadline, State,
+                Turn.Record.Text != nullptr, true);
     }
 }
 
@@ -218,29 +228,38 @@
   const std::uint64_t Number = Current.Number;
   const std::size_t Needed = needed();
   const std::size_t Texts = Turn.Record.Text ? Options.DurableCopies : 0;
-  const TimePoint SpreadAt = steadyNow() + TextPatience;
-  bool Spread = Texts == 0;
+  const TimePoint Patience = steadyNow() + MemberPatience;
+  bool AllAsked = false;
   askRound(Turn, Deadline, State);
   const auto IsKept = [&] {
     return State->Kept.size() >= Needed && State->TextKept.size() >= Texts;
   };
-  while (!IsKept() && State->Answered < State->Asked &&
-         Current.Number == Number && steadyNow() < Deadline) {
-    if (!Spread && steadyNow() >= SpreadAt) {
-      Spread = true;
-      spreadText(Turn, Deadline, State);
+  while (!IsKept() && Current.Number == Number && steadyNow() < Deadline) {
+    const bool AllAnswered = State->Answered >= State->Asked;
+    if (AllAsked && AllAnswered)
+      break;
+    if (!AllAsked && (AllAnswered || steadyNow() >= Patience)) {
+      AllAsked = true;
+      askTheRest(Turn, Deadline, State);
+      continue;
     }
-    const TimePoint Look = Spread ? steadyNow() + ViewCheck : SpreadAt;
+    const TimePoint Look = AllAsked ? steadyNow() + ViewCheck : Patience;
     co_await State->Changed.wait(std::min(Deadline, Look));
   }
   co_return IsKept();
 }
 
-std::vector<ViewMember> QuorumClient::Impl::joinedByDistance() const {
+std::vector<ViewMember>
+QuorumClient::Impl::joinedByDistance(const std::string &Key) const {
   std::vector<ViewMember> Result;
   std::copy_if(Current.Members.begin(), Current.Members.end(),
                std::back_inserter(Result),
                [](const ViewMember &Member) { return Member.Joined; });
+  std::sort(Result.begin(), Result.end(),
+            [&Key](const ViewMember &Left, const ViewMember &Right) {
+              return stableHash(Key, stableHash(Left.Address)) <
+                     stableHash(Key, stableHash(Right.Address));
+            });
   if (Options.Distance)
     std::stable_sort(Result.begin(), Result.end(),
                      [this](const ViewMember &Left, const ViewMember &Right) {
@@ -363,7 +382,7 @@
   const auto Self = shared_from_this();
   while (steadyNow() < Deadline) {
     const std::uint64_t Number = Self->Current.Number;
-    const std::vector<ViewMember> Members = Self->joinedByDistance();
+    const std::vector<ViewMember> Members = Self->joinedByDistance(Turn.text());
     const auto State = std::make_shared<ChainRound>(Self->Io);
     const LinkBody Body = encodeBody(ChainCall{Number, Turn});
     for (std::size_t Index = 0; Index < Members.size(); ++Index) {
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -30,6 +30,34 @@
   BOOST_TEST(chain("a") == "in a, out a; ");
 }
 
+BOOST_FIXTURE_TEST_CASE(AtNoMoreMembersThanAQuorumNeeds, Quorum) {
+  startAll();
+  useCurrentView();
+  for (const char *Id : {"a", "b", "c", "d"}) {
+    const ProgramId Program(std::string("program-") + Id);
+    BOOST_REQUIRE(keep({Program, TurnId(Id), {500, false}, nullptr, {}}));
+  }
+  Io.run_for(200ms);
+  std::uint64_t Kept = 0;
+  for (const auto &[Number, Node] : Nodes)
+    Kept += Node->status().RecordsKept;
+  BOOST_TEST(Kept == 8U);
+}
+
+BOOST_FIXTURE_TEST_CASE(WhicheverLedgerOfTheQuorumIsDown, Quorum) {
+  startAll();
+  useCurrentView();
+  for (const int Down : {1, 2, 3}) {
+    stop(Down);
+    for (const char *Id : {"a", "b", "c"}) {
+      const ProgramId Program("program-" + std::to_string(Down) + Id);
+      BOOST_TEST(keep({Program, TurnId(Id), {500, false}, nullptr, {}}, 1s)
+                     .has_value());
+    }
+    start(Down);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(NotWhileTwoAreDown, Quorum) {
   startAll();
   useCurrentView();
