Let retirement ask the retiring ledger only, and leave busy members in place

The ledgers' logs show why: the ledger that was to be emptied stood by, no member; it asked every member to take over what it holds (nothing), and each of them then fetched from all others too. Since records lie on a quorum only, that copied the whole history to every member (15,078 names, 5,900 lacking, again every 0.7 s). After the power loss the order still stood, the members answered no ping within 1.5 s, and ledgers that stood by replaced busy members, which added 38,138 records to copy.

Change: a retiring ledger without records is done; members fetch from the retiring one only, once each; a joining ledger fetches from as many members as it needs, not from all; a member that keeps its connections counts as busy, and is replaced after 8 s. A retiring ledger whose disk was emptied first fetches again what the view relies on it to hold. connectWithin() shares its socket with the timer's handler, which could run after the socket was gone (seen by reading).

Ruled out: the store (its calls were answered all the time); entries (0.044 cores at the most).

Tests that fail with the code before: Retires/AtOnceWhereALedgerOnlyStoodBy, ChangesItsView/NotWhileASilentMemberKeepsItsConnections.

--- a/packages/net/include/tamarack/net/Link.h
+++ b/packages/net/include/tamarack/net/Link.h
@@ -54,6 +54,8 @@
   /// Fails all calls and opens no further connection.
   void close();
   const std::string &address() const;
+  /// Whether a connection is open; the peer may still be silent.
+  bool isConnected() const;
 
 private:
   struct Impl;
--- a/packages/net/src/LinkClient.cpp
+++ b/packages/net/src/LinkClient.cpp
@@ -170,6 +170,8 @@
 
 const std::string &LinkClient::address() const { return Inner->Address; }
 
+bool LinkClient::isConnected() const { return Inner->Current != nullptr; }
+
 void LinkClient::call(const std::string &Name, LinkBody Body,
                       TimePoint Deadline, Answered Done) {
   // Silence counts only while something is awaited.
--- a/packages/net/src/Loop.cpp
+++ b/packages/net/src/Loop.cpp
@@ -57,22 +57,23 @@
 
 Task<Expected<Tcp::socket>> connectWithin(Loop &Io, Tcp::endpoint Peer,
                                           Duration Limit) {
-  Tcp::socket Socket(Io);
+  // Shared, because the timer's handler may be queued when this returns.
+  const auto Socket = std::make_shared<Tcp::socket>(Io);
   asio::steady_timer Timer(Io, Limit);
-  Timer.async_wait([&Socket](const ErrorCode &Stopped) {
+  Timer.async_wait([Socket](const ErrorCode &Stopped) {
     ErrorCode Ignored; // The connect fails, which is what is wanted.
     if (!Stopped)
-      Socket.close(Ignored);
+      Socket->close(Ignored);
   });
   ErrorCode Failure;
-  co_await Socket.async_connect(Peer, into(Failure));
+  co_await Socket->async_connect(Peer, into(Failure));
   const bool Late = Timer.cancel() == 0;
   if (Late || Failure)
     co_return refuse(ErrorKind::LinkLost,
                      Late ? std::string("no connection within the limit")
                           : "cannot connect: " + Failure.message(),
                      NotRun::Proved);
-  co_return std::move(Socket);
+  co_return std::move(*Socket);
 }
 
 Task<void> acceptLoop(Tcp::acceptor &Listener,
--- a/packages/quorum/include/tamarack/quorum/LedgerNode.h
+++ b/packages/quorum/include/tamarack/quorum/LedgerNode.h
@@ -34,8 +34,10 @@
 struct LedgerOptions {
   InstanceId Instance;
   DataCentreId DataCentre;
-  /// Where it listens for links.
+  /// Where it listens for links, "IP:PORT".
   std::string Address;
+  /// Where others reach it, if that is not where it listens.
+  std::string PublicAddress;
   std::filesystem::path Folder;
   /// The identity that a folder without one gets; never used twice.
   FolderId FreshFolder;
--- a/packages/quorum/src/LedgerCalls.cpp
+++ b/packages/quorum/src/LedgerCalls.cpp
@@ -60,8 +60,8 @@
              LinkServer::Reply Answer) -> Task<void> {
             const View Of = Body.at("view").get<View>();
             Self->adopt(Of, nullptr);
-            const bool Done = co_await Self->fetchAll(
-                Of, Body.at("extra").get<std::vector<std::string>>());
+            const bool Done = co_await Self->fetchFrom(
+                Body.at("from").get<std::string>(), Of);
             Answer(Json(AdoptAnswer{
                 Done ? LedgerRefusal::None : LedgerRefusal::Failed, {}}));
           }(shared_from_this(), std::move(Body), std::move(Answer)));
--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -18,18 +18,35 @@
 /// A member that answers no ping for that long is replaced by a ledger that
 /// stands by. Longer than a process takes to start again (about a second).
 constexpr Duration SuspectAfter = std::chrono::milliseconds(1500);
+/// One that keeps a connection open is alive and busy: to replace it would add
+/// a copy of all records to its load. It may be frozen, too, and waits that
+/// long.
+constexpr Duration SuspectConnectedAfter = std::chrono::seconds(8);
 /// A call between members; names and texts of a busy minute take below it.
 constexpr Duration CallLimit = std::chrono::milliseconds(2500);
+/// A member takes over what a retiring one holds.
+constexpr Duration AbsorbLimit = std::chrono::seconds(5);
 /// Turns fetched in one call: about 1 MB of text.
 constexpr std::size_t TurnsPerCall = 100;
 
+bool hasInstance(const View &In, const InstanceId &Instance) {
+  return std::any_of(
+      In.Members.begin(), In.Members.end(),
+      [&](const ViewMember &Member) { return Member.Instance == Instance; });
+}
+
 } // namespace
 
 ViewMember LedgerNode::Impl::self() const {
-  return {Log->folder(), Options.Instance, Options.DataCentre, Options.Address,
+  return {Log->folder(), Options.Instance, Options.DataCentre, publicAddress(),
           false};
 }
 
+const std::string &LedgerNode::Impl::publicAddress() const {
+  return Options.PublicAddress.empty() ? Options.Address
+                                       : Options.PublicAddress;
+}
+
 std::shared_ptr<LinkClient>
 LedgerNode::Impl::linkTo(const std::string &Address) {
   auto &Link = Links[Address];
@@ -78,11 +95,25 @@
   const TimePoint Until = steadyNow() + SuspectAfter;
   while (!Silent->empty() && steadyNow() < Until)
     co_await pause(Io, std::chrono::milliseconds(20));
+  const TimePoint Now = steadyNow();
+  for (const ViewMember &Member : Known.Members) {
+    const bool IsSlow = Silent->count(Member.Folder) > 0 &&
+                        linkTo(Member.Address)->isConnected();
+    if (!IsSlow) {
+      SlowSince.erase(Member.Folder);
+      continue;
+    }
+    const TimePoint Since = SlowSince.emplace(Member.Folder, Now).first->second;
+    if (Now - Since < SuspectConnectedAfter)
+      Silent->erase(Member.Folder);
+  }
   co_return *Silent;
 }
 
 Task<void> LedgerNode::Impl::enterView() {
-  if (Retiring) {
+  // A retiring ledger whose disk was emptied first fetches again what the view
+  // relies on it to hold.
+  if (Retiring && !hasInstance(Known, Options.Instance)) {
     co_await ViewMoved.wait(steadyNow() + LookPeriod);
     co_return;
   }
@@ -109,8 +140,7 @@
 
 Task<void> LedgerNode::Impl::becomeJoined() {
   const View Before = Known;
-  std::vector<std::string> NoExtra;
-  const bool Fetched = co_await fetchAll(Before, std::move(NoExtra));
+  const bool Fetched = co_await fetchEnough(Before);
   bool Done = false;
   if (Fetched && Before.Number == Known.Number) {
     View Next = withJoined(Before, Log->folder());
@@ -135,7 +165,7 @@
   co_return Done &&*Done;
 }
 
-Task<bool> LedgerNode::Impl::fetchAll(View Of, std::vector<std::string> Extra) {
+Task<bool> LedgerNode::Impl::fetchEnough(View Of) {
   std::vector<ViewMember> Sources;
   std::copy_if(Of.Members.begin(), Of.Members.end(),
                std::back_inserter(Sources), [this](const ViewMember &Member) {
@@ -147,21 +177,17 @@
                        return Options.Distance(Left.DataCentre) <
                               Options.Distance(Right.DataCentre);
                      });
-  for (const std::string &Address : Extra) {
-    const bool Fetched = co_await fetchFrom(Address, Of);
-    if (!Fetched)
-      co_return false;
-  }
+  const std::size_t Needed =
+      sourcesNeeded(Of, Options.DurableCopies, Sources.size());
   std::size_t Complete = 0;
   for (const ViewMember &Source : Sources) {
+    if (Complete == Needed || Known.Number != Of.Number)
+      break;
     const bool Fetched = co_await fetchFrom(Source.Address, Of);
     if (Fetched)
       ++Complete;
-    if (Known.Number != Of.Number)
-      co_return false;
   }
-  co_return Complete >=
-      sourcesNeeded(Of, Options.DurableCopies, Sources.size());
+  co_return Complete == Needed &&Known.Number == Of.Number;
 }
 
 Task<bool> LedgerNode::Impl::fetchFrom(std::string Address, View Of) {
@@ -216,7 +242,11 @@
   if (Latest->Number > Self->Known.Number)
     Self->adopt(*Latest, nullptr);
   View Left = Self->Known;
-  if (findMember(Left, Self->Log->folder()) != nullptr) {
+  const ViewMember *Member = findMember(Left, Self->Log->folder());
+  const bool IsNamed = hasInstance(Left, Self->Options.Instance);
+  if (IsNamed && (Member == nullptr || !Member->Joined))
+    co_return false;
+  if (IsNamed) {
     const View Next = without(Left, Self->Log->folder());
     const auto Joined =
         std::count_if(Next.Members.begin(), Next.Members.end(),
@@ -228,17 +258,19 @@
     if (!Done)
       co_return false;
     Left = Next;
+  } else if (Self->Store.programsKept() == 0) {
+    co_return true; // It was never a member, or its disk was empty since.
   }
-  for (const ViewMember &Member : Left.Members) {
-    if (!Member.Joined)
+  for (const ViewMember &Other : Left.Members) {
+    if (!Other.Joined || Self->Absorbed.count(Other.Folder) > 0)
       continue;
-    const Json Body{{"view", Left},
-                    {"extra", std::vector<std::string>{Self->Options.Address}}};
+    const Json Body{{"view", Left}, {"from", Self->publicAddress()}};
     const Expected<Json> Done =
-        co_await callLink(Self->Io, Self->linkTo(Member.Address), calls::Absorb,
-                          encodeBody(Body), steadyNow() + 2 * CallLimit);
+        co_await callLink(Self->Io, Self->linkTo(Other.Address), calls::Absorb,
+                          encodeBody(Body), steadyNow() + AbsorbLimit);
     if (!Done || Done->get<AdoptAnswer>().Refusal != LedgerRefusal::None)
       co_return false;
+    Self->Absorbed.insert(Other.Folder);
   }
   co_return true;
 }
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace tamarack {
@@ -42,6 +43,10 @@
   std::uint64_t Refused = 0;
   std::uint64_t BytesSinceRoll = 0;
   const TimePoint StartedAt = steadyNow();
+  /// Members that keep a connection but do not answer, and since when.
+  std::map<FolderId, TimePoint> SlowSince;
+  /// Members that hold all that this one held when it left the view.
+  std::set<FolderId> Absorbed;
   bool Retiring = false;
   bool Stopped = false;
 
@@ -62,13 +67,14 @@
   Task<void> enterView();
   Task<void> becomeJoined();
   Task<std::set<FolderId>> unreachableMembers();
-  /// Fetches what \p Extra and enough joined members of \p Of hold, so that it
-  /// has each record that is kept.
-  Task<bool> fetchAll(View Of, std::vector<std::string> Extra);
+  /// Fetches what enough joined members of \p Of hold, so that it has each
+  /// record that is kept.
+  Task<bool> fetchEnough(View Of);
   Task<bool> fetchFrom(std::string Address, View Of);
   Task<bool> change(View Before, View Next, std::string Reason);
   std::shared_ptr<LinkClient> linkTo(const std::string &Address);
   ViewMember self() const;
+  const std::string &publicAddress() const;
 
   // LedgerNode.cpp: journal and upkeep.
   Expected<void> load();
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -239,10 +239,62 @@
   BOOST_TEST(chain("a") == "in a, out a; ");
 }
 
+BOOST_FIXTURE_TEST_CASE(WhenARetiringMemberHasLostItsDisk, Quorum) {
+  startAll();
+  useCurrentView();
+  BOOST_REQUIRE(keep(turn("a")));
+  const int Holder = holders().front();
+  wipe(Holder);
+  start(Holder);
+  bool Retired = false;
+  until([&] {
+    Retired = Retired || await(Nodes[Holder]->retire());
+    return Retired;
+  });
+  BOOST_TEST(Views.Current.Members.size() == 2U);
+  for (const auto &[Number, Node] : Nodes)
+    BOOST_TEST(Node->status().Turns == 1U, "ledger " << Number);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Retires)
+
+BOOST_FIXTURE_TEST_CASE(AtOnceWhereALedgerOnlyStoodBy, Quorum) {
+  startAll();
+  useCurrentView();
+  BOOST_REQUIRE(keep(turn("a")));
+  start(4);
+  Io.run_for(300ms);
+  stop(1);
+  BOOST_TEST(await(Nodes[4]->retire()));
+  BOOST_TEST(!Nodes[4]->status().IsMember);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(ChangesItsView)
 
+BOOST_FIXTURE_TEST_CASE(NotWhileASilentMemberKeepsItsConnections, Quorum) {
+  startAll();
+  useCurrentView();
+  // A busy process: it accepts connections and answers nothing for a while.
+  stop(1);
+  Tcp::acceptor Busy =
+      std::move(*listenOn(Io, options(1, /*FirstStart=*/false).Address));
+  std::vector<Tcp::socket> Open;
+  spawn(Io, acceptLoop(Busy, [&Open](Tcp::socket Socket) {
+          Open.push_back(std::move(Socket));
+        }));
+  const View Before = Views.Current;
+  start(4);
+  Io.run_for(4s);
+  BOOST_TEST((Views.Current == Before));
+  Busy.close();
+  Open.clear();
+  until([this] { return Nodes[4]->status().IsJoined; });
+}
+
 BOOST_FIXTURE_TEST_CASE(AndTellsAClientThatKnowsAnOlderOne, Quorum) {
   startAll();
   useCurrentView();
