--- a/packages/net/include/tamarack/net/HttpCall.h
+++ b/packages/net/include/tamarack/net/HttpCall.h
@@ -33,6 +33,9 @@
   Duration KeepIdle = std::chrono::seconds(4);
   /// Idle connections kept for one server.
   std::size_t KeptPerServer = 16;
+  /// Servers may be silent for long while a call waits, so that only probes of
+  /// the connection tell whether they are there.
+  bool ProbeIdle = false;
   /// Longer answers are refused.
   std::uint64_t BodyBytes = 16U << 20U;
 };
--- a/packages/net/include/tamarack/net/Loop.h
+++ b/packages/net/include/tamarack/net/Loop.h
@@ -68,6 +68,9 @@
 /// acknowledged nothing for \p Unacknowledged.
 void tuneSocket(Tcp::socket &Socket, Duration Unacknowledged);
 
+/// Notices within about four seconds that an idle peer went silent.
+void probeIdleSocket(Tcp::socket &Socket);
+
 /// Opens a connection within \p Limit.
 Task<Expected<Tcp::socket>> connectWithin(Loop &Io, Tcp::endpoint Peer,
                                           Duration Limit);
--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -70,6 +70,8 @@
   if (!Socket)
     co_return tl::unexpected(Socket.error());
   tuneSocket(*Socket, Limits.Unacknowledged);
+  if (Limits.ProbeIdle)
+    probeIdleSocket(*Socket);
   co_return std::make_unique<HttpConnection>(Address, std::move(*Socket));
 }
 
--- a/packages/net/src/Loop.cpp
+++ b/packages/net/src/Loop.cpp
@@ -11,6 +11,12 @@
 /// Connections that wait to be accepted; a full queue costs callers seconds.
 constexpr int ListenBacklog = 1024;
 
+/// An idle connection is probed after two seconds, and given up after two
+/// probes without an answer.
+constexpr int ProbeAfterSeconds = 2;
+constexpr int ProbeEverySeconds = 1;
+constexpr int ProbesLost = 2;
+
 } // namespace
 
 void spawn(Loop &Io, Task<void> Work) {
@@ -55,6 +61,18 @@
                sizeof Millis);
 }
 
+void probeIdleSocket(Tcp::socket &Socket) {
+  ErrorCode Ignored; // A socket that is closed already fails at its first use.
+  Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
+  const auto Set = [&Socket](int Option, int Value) {
+    ::setsockopt(Socket.native_handle(), IPPROTO_TCP, Option, &Value,
+                 sizeof Value);
+  };
+  Set(TCP_KEEPIDLE, ProbeAfterSeconds);
+  Set(TCP_KEEPINTVL, ProbeEverySeconds);
+  Set(TCP_KEEPCNT, ProbesLost);
+}
+
 Task<Expected<Tcp::socket>> connectWithin(Loop &Io, Tcp::endpoint Peer,
                                           Duration Limit) {
   // Shared, because the timer's handler may be queued when this returns.
