--- a/packages/relay/src/EndpointTable.cpp
+++ b/packages/relay/src/EndpointTable.cpp
@@ -27,10 +27,6 @@
 constexpr double OtherRegionMs = 120;
 /// A round trip to another data centre; small requests prefer the own one.
 constexpr double OtherDataCentreMs = 1;
-/// Prompts and streams are some 20 KB, paid between data centres: less than
-/// half of what one more request in the batch costs, so that load decides
-/// first.
-constexpr double StreamToOtherDataCentreMs = 8;
 /// Avoided endpoints are used only when there is no other.
 constexpr double AvoidedMs = 100000;
 /// Parts equal costs, so that entries do not all choose the same.
@@ -117,9 +113,8 @@
       Options.Distance ? Options.Distance(Entry.DataCentre) : 0;
   if (Distance >= 2)
     Cost += OtherRegionMs;
-  else if (Distance == 1)
-    Cost +=
-        Needs.Prompt.empty() ? OtherDataCentreMs : StreamToOtherDataCentreMs;
+  else if (Distance == 1 && Needs.AffinityKey.empty())
+    Cost += OtherDataCentreMs;
   if (Candidate.AvoidUntil > Now)
     Cost += AvoidedMs;
   return Cost;
