--- a/packages/turns/include/tamarack/turns/Messages.h
+++ b/packages/turns/include/tamarack/turns/Messages.h
@@ -69,8 +69,8 @@
 
 struct RecordAnswer {
   LedgerRefusal Refusal = LedgerRefusal::None;
-  /// All charges of the program that this ledger knows of, where the record is a
-  /// reservation; settlements need no account.
+  /// All charges of the program that this ledger knows of, where the record is
+  /// a reservation; settlements need no account.
   Account Known;
   /// Present with OlderView.
   std::optional<View> Newer;
@@ -105,8 +105,8 @@
 };
 
 struct TurnsAnswer {
-  /// Each is a TurnRecord as a journal holds it, so that it goes from one disk to
-  /// the other without being encoded again.
+  /// Each is a TurnRecord as a journal holds it, so that it goes from one disk
+  /// to the other without being encoded again.
   std::vector<std::string> Frames;
 };
 
