Apply removals that a ledger passes on at once

Cause: a mirror holds back removals for 2.2 s after an outage of the store, since leases that expired in it are renewed then. An entry that loses its own way to the ledgers and the store cannot tell this from an outage, so it held back what happened to the endpoints meanwhile. To the 2.2 s came the time until it heard of it, and up to one pause of the mirror's loop, which looked at what was due only after a watch; together about the 4 s after which the entry counts as in touch. The class: a process takes its own loss of contact for a failure of the other side, although a witness tells it better.

A ledger that passes on a removal has held it back itself if the store was out, and a complete page is taken only from a ledger that has settled. So what a ledger says is applied at once, and its outages replace those that the follower has seen.

--- a/packages/feed/include/tamarack/feed/MirrorState.h
+++ b/packages/feed/include/tamarack/feed/MirrorState.h
@@ -3,18 +3,23 @@
 ///
 ///   MirrorState State(Options, Now);
 ///   State.onStoreFailure(Now);
-///   State.applyPage(Page, Now);
-///   State.applyDelayedRemovals(Now);
+///   State.applyChanges(Changes, StoreRevision, Now);
+///   State.applyDelayedRemovals(AskedAt);
 ///
-/// Leases can expire during a store outage, so a key that disappears during or
-/// shortly after an outage may come back; its removal is delayed by the time
-/// within which the platform restores such keys.
+/// Leases can expire during a store outage, so a key that the store lacks
+/// during or shortly after an outage may come back. Its removal is delayed
+/// until the time has passed within which the platform restores such keys, and
+/// the store, asked after that, still lacks it. A source of a feed passes on
+/// only removals that it has delayed itself where that was needed, so they take
+/// effect at once: a process that was cut off takes its own loss of the store
+/// for an outage, but a source that was not cut off knows better.
 #ifndef TAMARACK_FEED_MIRRORSTATE_H
 #define TAMARACK_FEED_MIRRORSTATE_H
 
 #include "tamarack/feed/ChangeFeed.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,8 +82,13 @@
   MirrorRemovals applyPage(const FeedPage &Page, TimePoint Now);
   /// Loads the items of a peer's mirror; ignored once the mirror is loaded.
   void loadFromPeer(const std::vector<StoreItem> &PeerItems);
-  /// Carries out the delayed removals that are due. Returns their keys.
-  std::vector<std::string> applyDelayedRemovals(TimePoint Now);
+  /// When the first delayed removal may be carried out; empty if there is none
+  /// or the store does not answer.
+  std::optional<TimePoint> removalsDueAt() const;
+  /// Carries out the removals that the store confirmed, where \p AskedAt is
+  /// when it was asked for the changes that were applied last. Returns their
+  /// keys.
+  std::vector<std::string> applyDelayedRemovals(TimePoint AskedAt);
 
   /// Returns what a follower that has received \p Position lacks. The caller
   /// sets FeedPage::Age.
@@ -87,16 +97,19 @@
 private:
   void put(const StoreItem &Item);
   void erase(const std::string &Key);
-  void remove(const std::string &Key, Revision RemovedAt, TimePoint Now,
-              MirrorRemovals &Result);
-  /// Removes all items except those of \p Present.
+  /// Removes \p Key unless it changed after \p RemovedAt, or delays that if
+  /// \p MayDelay is set and an outage is recent.
+  void remove(const std::string &Key, Revision RemovedAt, bool MayDelay,
+              TimePoint Now, MirrorRemovals &Result);
+  /// Does the same for all items except those of \p Present.
   void removeMissing(const std::vector<StoreItem> &Present, Revision RemovedAt,
-                     TimePoint Now, MirrorRemovals &Result);
+                     bool MayDelay, TimePoint Now, MirrorRemovals &Result);
 
   const MirrorStateOptions Options;
   std::map<std::string, StoreItem> Items;
   ChangeFeed Feed;
-  /// Keys that disappeared around an outage, and when they are removed here.
+  /// Keys that disappeared around an outage, and the end of the time within
+  /// which they may come back.
   std::map<std::string, TimePoint> DelayedRemovals;
   Revision AppliedRevision = 0;
   bool Loaded = false;
--- a/packages/feed/src/MirrorState.cpp
+++ b/packages/feed/src/MirrorState.cpp
@@ -33,7 +33,7 @@
   MirrorRemovals Result;
   for (const StoreItem &Item : Listing)
     put(Item);
-  removeMissing(Listing, ListedAt, Now, Result);
+  removeMissing(Listing, ListedAt, true, Now, Result);
   AppliedRevision = ListedAt;
   Listed = true;
   Loaded = true;
@@ -46,7 +46,7 @@
   MirrorRemovals Result;
   for (const StoreItem &Change : Changes)
     if (Change.Removed)
-      remove(Change.Key, Change.ModRevision, Now, Result);
+      remove(Change.Key, Change.ModRevision, true, Now, Result);
     else
       put(Change);
   AppliedRevision = std::max(AppliedRevision, StoreRevision);
@@ -54,15 +54,17 @@
 }
 
 MirrorRemovals MirrorState::applyPage(const FeedPage &Page, TimePoint Now) {
-  LastOutageAt = std::max(LastOutageAt, Now - Page.SinceOutage);
+  // The items are those of the source from now on, so its outages count.
+  LastOutageAt = Now - Page.SinceOutage;
   MirrorRemovals Result;
   for (const StoreItem &Item : Page.Items)
     if (Item.Removed)
-      remove(Item.Key, Page.AppliedRevision, Now, Result);
+      remove(Item.Key, Page.AppliedRevision, false, Now, Result);
     else
       put(Item);
   if (Page.IsComplete)
-    removeMissing(Page.Items, Page.AppliedRevision, Now, Result);
+    removeMissing(Page.Items, Page.AppliedRevision, false, Now, Result);
+  DelayedRemovals.clear();
   AppliedRevision = Page.AppliedRevision;
   Listed = true;
   Loaded = true;
@@ -77,18 +79,26 @@
   Loaded = !Items.empty();
 }
 
-std::vector<std::string> MirrorState::applyDelayedRemovals(TimePoint Now) {
+std::optional<TimePoint> MirrorState::removalsDueAt() const {
+  const auto First =
+      std::min_element(DelayedRemovals.begin(), DelayedRemovals.end(),
+                       [](const auto &Left, const auto &Right) {
+                         return Left.second < Right.second;
+                       });
+  if (First == DelayedRemovals.end() || InOutage)
+    return std::nullopt;
+  return First->second;
+}
+
+std::vector<std::string> MirrorState::applyDelayedRemovals(TimePoint AskedAt) {
   std::vector<std::string> Result;
-  for (auto Removal = DelayedRemovals.begin();
-       Removal != DelayedRemovals.end();) {
-    if (Removal->second > Now || InOutage) {
-      ++Removal;
-      continue;
-    }
-    Result.push_back(Removal->first);
-    erase(Removal->first);
-    Removal = DelayedRemovals.erase(Removal);
-  }
+  if (InOutage)
+    return Result;
+  for (const auto &[Key, DueAt] : DelayedRemovals)
+    if (DueAt <= AskedAt)
+      Result.push_back(Key);
+  for (const std::string &Key : Result)
+    erase(Key);
   return Result;
 }
 
@@ -112,16 +122,18 @@
 
 void MirrorState::erase(const std::string &Key) {
   Items.erase(Key);
+  DelayedRemovals.erase(Key);
   Feed.remove(Key);
 }
 
 void MirrorState::remove(const std::string &Key, Revision RemovedAt,
-                         TimePoint Now, MirrorRemovals &Result) {
+                         bool MayDelay, TimePoint Now, MirrorRemovals &Result) {
   const auto Found = Items.find(Key);
   if (Found == Items.end() || Found->second.ModRevision > RemovedAt)
     return;
-  if (InOutage || Now - LastOutageAt < Options.RestorePeriod) {
-    if (DelayedRemovals.emplace(Key, Now + Options.RestorePeriod).second)
+  const TimePoint MayReturnUntil = LastOutageAt + Options.RestorePeriod;
+  if (MayDelay && (InOutage || Now < MayReturnUntil)) {
+    if (DelayedRemovals.emplace(Key, MayReturnUntil).second)
       Result.Delayed.push_back(Key);
     return;
   }
@@ -130,8 +142,8 @@
 }
 
 void MirrorState::removeMissing(const std::vector<StoreItem> &Present,
-                                Revision RemovedAt, TimePoint Now,
-                                MirrorRemovals &Result) {
+                                Revision RemovedAt, bool MayDelay,
+                                TimePoint Now, MirrorRemovals &Result) {
   std::set<std::string> PresentKeys;
   for (const StoreItem &Item : Present)
     PresentKeys.insert(Item.Key);
@@ -140,7 +152,7 @@
     if (PresentKeys.count(Key) == 0)
       MissingKeys.push_back(Key);
   for (const std::string &Key : MissingKeys)
-    remove(Key, RemovedAt, Now, Result);
+    remove(Key, RemovedAt, MayDelay, Now, Result);
 }
 
 } // namespace tamarack
--- a/packages/feed/test/MirrorStateTest.cpp
+++ b/packages/feed/test/MirrorStateTest.cpp
@@ -23,6 +23,13 @@
     State.applyListing({item("a", 3), item("b", 4)}, 5, Start);
   }
 
+  /// The store is out until 65 s; at 66 s it reports that "a" is removed.
+  void hearOfRemovalAfterOutage() {
+    State.onStoreFailure(Start + 1min);
+    State.onAnswer(Start + 65s);
+    State.applyChanges({removal("a", 6)}, 6, Start + 66s);
+  }
+
   bool has(const std::string &Key) const { return State.find(Key) != nullptr; }
 
   static MirrorStateOptions options() {
@@ -74,14 +81,31 @@
 }
 
 BOOST_AUTO_TEST_CASE(IsForgottenWhenTheKeyComesBack) {
-  State.onStoreFailure(Start + 1min);
-  State.onAnswer(Start + 65s);
-  State.applyChanges({removal("a", 6)}, 6, Start + 65s);
+  hearOfRemovalAfterOutage();
   State.applyChanges({item("a", 7)}, 7, Start + 66s);
   BOOST_TEST(State.applyDelayedRemovals(Start + 2min).empty());
   BOOST_TEST(has("a"));
 }
 
+BOOST_AUTO_TEST_CASE(TakesEffectWhenTheStoreIsAskedAfterTheRestorePeriod) {
+  hearOfRemovalAfterOutage();
+  BOOST_TEST((State.removalsDueAt() == Start + 67200ms));
+  BOOST_TEST(State.applyDelayedRemovals(Start + 67199ms).empty());
+  BOOST_TEST(has("a"));
+  BOOST_TEST((State.applyDelayedRemovals(Start + 67200ms) ==
+              std::vector<std::string>{"a"}));
+  BOOST_TEST(!has("a"));
+  BOOST_TEST(!State.removalsDueAt().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(StaysDelayedWhileTheStoreIsOutAgain) {
+  hearOfRemovalAfterOutage();
+  State.onStoreFailure(Start + 67s);
+  BOOST_TEST(!State.removalsDueAt().has_value());
+  BOOST_TEST(State.applyDelayedRemovals(Start + 2min).empty());
+  BOOST_TEST(has("a"));
+}
+
 BOOST_AUTO_TEST_CASE(OfAnOlderRevisionThanTheItemIsIgnored) {
   State.applyChanges({item("a", 8)}, 8, Start + 1min);
   State.applyChanges({removal("a", 7)}, 8, Start + 1min);
@@ -127,6 +151,32 @@
   BOOST_TEST(has("b"));
 }
 
+BOOST_AUTO_TEST_CASE(ReplacesWhatWasDelayedBefore) {
+  hearOfRemovalAfterOutage();
+  State.applyPage(page({item("b", 4)}), Start + 66s);
+  BOOST_TEST(!State.removalsDueAt().has_value());
+  BOOST_TEST(has("a"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+/// Guards against new followers that lose keys which are about to come back.
+BOOST_AUTO_TEST_SUITE(APageForFollowers)
+
+BOOST_AUTO_TEST_CASE(HoldsKeysWhoseRemovalIsDelayed) {
+  hearOfRemovalAfterOutage();
+  const FeedPage Page = State.pageAfter({}, Start + 67s);
+  BOOST_TEST(Page.Items.size() == 2);
+  BOOST_TEST((Page.SinceOutage == Duration(2s)));
+}
+
+BOOST_AUTO_TEST_CASE(TellsTheOutagesOfTheSourceThatThisProcessFollowed) {
+  State.onStoreFailure(Start + 1min);
+  State.onAnswer(Start + 65s);
+  State.applyPage(page({}), Start + 65s);
+  BOOST_TEST((State.pageAfter({}, Start + 65s).SinceOutage == Duration(1min)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
