Keep the requests to an endpoint within the rate that it names

A replica in need names in its answers how many requests a second it takes from all entries together.

An entry now saves up tokens for each such endpoint at its share of the limit, which is its share of the recent requests to the service, and sends only while what all entries report to have sent in 4 s is within the limit. The reports travel with the load reports on the records of turns, so there is no further message. Where all endpoints are at their limits, a request is refused at once with the mean time until one has room as Retry-After; first turns of programs leave a fifth of a limit to programs under way. Entries of another region, which the endpoint's region does not hear of, use a quarter.

RelayRequests/RateLimitedEndpoints failed on the code before: nothing there read the limit.

--- a/packages/quorum/src/LedgerCalls.cpp
+++ b/packages/quorum/src/LedgerCalls.cpp
@@ -143,6 +143,8 @@
         Result.InFlight[Endpoint] += Count;
       for (const auto &[Endpoint, Counts] : News.Outcomes)
         Result.Outcomes[Endpoint] = Result.Outcomes[Endpoint] + Counts;
+      for (const auto &[Endpoint, Rate] : News.Rates)
+        Result.Rates[Endpoint] = Result.Rates[Endpoint] + Rate;
     }
     ++It;
   }
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -92,19 +92,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-BOOST_FIXTURE_TEST_CASE(ReportsToEachEntryTheSumOfWhatTheOthersHaveInFlight,
-                        QuorumFixture) {
+BOOST_FIXTURE_TEST_CASE(
+    ReportsToEachEntryTheSumOfWhatTheOthersHaveInFlightAndSent, QuorumFixture) {
   startAll();
-  InFlightByEndpoint InFlight;
+  EndpointNews Elsewhere;
   std::vector<std::unique_ptr<QuorumClient>> Entries;
   for (const std::uint32_t Running : {2U, 3U, 0U}) {
     QuorumOptions Options;
     Options.MakeLoadReport = [Running, Number = Entries.size()] {
-      return EndpointLoadReport{InstanceId("entry-" + std::to_string(Number)),
-                                {{{EndpointId("e"), Running}}, {}}};
+      return EndpointLoadReport{
+          InstanceId("entry-" + std::to_string(Number)),
+          {{{EndpointId("e"), Running}},
+           {},
+           {{EndpointId("e"),
+             {Running == 3U ? std::optional(6.5) : std::nullopt, Running,
+              10 * Running}}}}};
     };
-    Options.OnNewsElsewhere = [&InFlight](const EndpointNews &News) {
-      InFlight = News.InFlight;
+    Options.OnNewsElsewhere = [&Elsewhere](const EndpointNews &News) {
+      Elsewhere = News;
     };
     Entries.push_back(std::make_unique<QuorumClient>(Io, Options));
     Entries.back()->setView(Views.Current);
@@ -112,7 +117,8 @@
         await(Entries.back()->storeRecord({turn("a"), {}}, steadyNow() + 5s)));
     Io.run_for(50ms);
   }
-  BOOST_TEST(InFlight[EndpointId("e")] == 5U);
+  BOOST_TEST(Elsewhere.InFlight[EndpointId("e")] == 5U);
+  BOOST_TEST((Elsewhere.Rates[EndpointId("e")] == EndpointRate{6.5, 5, 50}));
 }
 
 BOOST_AUTO_TEST_SUITE(FindsChains)
--- a/packages/relay/include/tamarack/relay/Dialect.h
+++ b/packages/relay/include/tamarack/relay/Dialect.h
@@ -49,6 +49,9 @@
   bool IsEncoded = false;
   /// Whether the endpoint states that it is shutting down.
   bool IsLeaving = false;
+  /// The requests per second that the endpoint takes from all entries together,
+  /// if it limits them.
+  std::optional<double> RateLimit;
 };
 
 /// Translates between metadata and the header fields of a deployment.
--- a/packages/relay/include/tamarack/relay/EndpointTable.h
+++ b/packages/relay/include/tamarack/relay/EndpointTable.h
@@ -17,6 +17,7 @@
 #include "tamarack/relay/Catalog.h"
 #include "tamarack/relay/EndpointHealth.h"
 #include "tamarack/relay/PromptCache.h"
+#include "tamarack/relay/RateLimits.h"
 #include "tamarack/turns/Messages.h"
 
 #include <functional>
@@ -44,6 +45,8 @@
   /// Returns 0 for the local data centre, 1 for others in the local region and
   /// 2 for other regions. All data centres count as local if it is not set.
   std::function<int(const DataCentreId &)> Distance;
+  /// Differs between entries; see RateLimits.
+  std::uint64_t Seed = 0;
 };
 
 class EndpointTable {
@@ -56,14 +59,14 @@
   std::vector<std::string> replace(std::vector<EndpointEntry> Entries,
                                    TimePoint Now);
 
-  /// Returns the ready endpoint with the lowest cost, or nothing if there is
-  /// none.
+  /// Returns the ready endpoint with the lowest cost among those whose rate
+  /// limit admits the request, or nothing if there is none.
   std::optional<EndpointEntry> choose(const EndpointQuery &Query,
                                       TimePoint Now) const;
 
   /// Counts a request as running. From now on its prompt counts as cached at
   /// the endpoint, up to \p MemoryTokens.
-  void onRequestStarted(const EndpointId &Endpoint,
+  void onRequestStarted(const EndpointId &Endpoint, TimePoint Now,
                         const std::vector<PromptPart> &Prompt = {},
                         TokenCount MemoryTokens = 0);
   void onRequestEnded(const EndpointId &Endpoint);
@@ -83,8 +86,19 @@
   /// disappears and returns in between. Returns whether this is news.
   bool onLeaving(const EndpointId &Endpoint, TimePoint Now);
 
-  /// The requests that this entry runs at each endpoint, and the outcomes at
-  /// endpoints with recent failures, to be reported to the other entries.
+  /// Records the rate limit that a response of the endpoint states, in requests
+  /// per second, or that it states none. Returns whether this is news.
+  bool onRateLimit(const EndpointId &Endpoint, std::optional<double> PerSecond,
+                   TimePoint Now);
+  /// The mean time until the rate limits of the endpoints of \p Service admit
+  /// another request; empty if an endpoint that is ready has no limit, or none
+  /// is ready.
+  std::optional<Duration> rateLimitDelay(const ServiceId &Service,
+                                         TimePoint Now) const;
+
+  /// What this entry tells the others: the requests that it runs at each
+  /// endpoint, the outcomes at endpoints with recent failures, and what it sent
+  /// to endpoints that limit their rate.
   EndpointNews news(TimePoint Now) const;
   /// Sets the sum of the reports of all other entries.
   void setRemoteNews(EndpointNews Next, TimePoint Now);
@@ -116,6 +130,8 @@
   std::uint32_t remoteRunning(const EndpointId &Endpoint, TimePoint Now) const;
   /// Whether the recent outcomes at all entries speak against the endpoint.
   bool isOutlierAt(const EndpointStatus &Candidate, TimePoint Now) const;
+  /// As EndpointTableOptions::Distance.
+  int distanceTo(const EndpointStatus &Candidate) const;
   static double prefillMs(const EndpointStatus &Candidate,
                           const EndpointQuery &Query);
   double estimatedCostMs(const EndpointStatus &Candidate,
@@ -126,8 +142,18 @@
   outliersOf(const std::vector<const EndpointStatus *> &Candidates,
              TimePoint Now) const;
 
+  /// Whether the endpoint is ready and has not announced its shutdown.
+  bool isUsable(const EndpointStatus &Candidate,
+                const ServiceId &Service) const;
+  /// What a request that is no first turn counts as towards the rate limit.
+  RateQuery rateQuery(const EndpointStatus &Candidate) const;
+  /// Whether the rate limit of the endpoint admits a request like \p Query.
+  bool isWithinRate(const EndpointStatus &Candidate, const EndpointQuery &Query,
+                    TimePoint Now) const;
+
   const EndpointTableOptions Options;
   std::map<EndpointId, EndpointStatus> Statuses;
+  RateLimits Rates;
   std::map<EndpointId, LeavingProcess> Leaving;
   EndpointNews RemoteNews;
   TimePoint RemoteNewsAt;
--- /dev/null
+++ b/packages/relay/include/tamarack/relay/RateLimits.h
@@ -0,0 +1,109 @@
+/// Keeps the requests to endpoints that limit their rate within the limits.
+///
+///   RateLimits Limits(Seed);
+///   Limits.onStated(Endpoint, PerSecond, Now); // From each response.
+///   if (Limits.admits(Query, Now))
+///     Limits.onSent(Query, Now);
+///
+/// An endpoint in need states in its responses how many requests per second it
+/// takes from all entries together. Entries report to each other what they have
+/// sent to such endpoints. A request is admitted if this entry has saved up a
+/// token, at a rate that is its share of the limit by its share of the demand,
+/// and all entries together have been within the limit. The sum alone would let
+/// all entries send at once whenever the limit has room, since reports arrive
+/// late; the tokens alone would not stop a burst after a pause.
+#ifndef TAMARACK_RELAY_RATELIMITS_H
+#define TAMARACK_RELAY_RATELIMITS_H
+
+#include "tamarack/base/Clock.h"
+#include "tamarack/turns/Messages.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace tamarack {
+
+/// The number of events in the last period.
+class SlidingCount {
+public:
+  static constexpr Duration Period = std::chrono::seconds(4);
+
+  void add(TimePoint Now);
+  std::uint32_t count(TimePoint Now) const;
+
+private:
+  static constexpr std::int64_t Slots = 16;
+  static constexpr Duration SlotLength = Period / Slots;
+  static std::int64_t slotNumber(TimePoint Time);
+
+  std::array<std::uint32_t, Slots> Counts{};
+  /// The number of the slot in which the last event was.
+  std::int64_t LastSlot = 0;
+};
+
+struct RateQuery {
+  EndpointId Endpoint;
+  ServiceId Service;
+  /// The part of the limit that the entries of this region may use, from 0
+  /// to 1.
+  double RegionPart = 1;
+  /// The part of that for requests of this kind.
+  double KindPart = 1;
+};
+
+class RateLimits {
+public:
+  /// Entries with different seeds do not save up their first token for an
+  /// endpoint at the same time.
+  explicit RateLimits(std::uint64_t Seed) : Seed(Seed) {}
+
+  /// Records the limit that a response of \p Endpoint states, in requests per
+  /// second; empty if it states none. Returns whether the limit has changed.
+  bool onStated(const EndpointId &Endpoint, std::optional<double> PerSecond,
+                TimePoint Now);
+  /// Drops what is known of \p Endpoint, whose process was replaced or ended.
+  void forget(const EndpointId &Endpoint);
+  /// Records that a request like \p Query is sent, admitted or not.
+  void onSent(const RateQuery &Query, TimePoint Now);
+  /// The limit of \p Endpoint that this or another entry was told.
+  std::optional<double> limitOf(const EndpointId &Endpoint,
+                                TimePoint Now) const;
+  bool admits(const RateQuery &Query, TimePoint Now) const;
+  /// The part of the requests to the service that this entry sends.
+  double shareOf(const RateQuery &Query, TimePoint Now) const;
+
+  /// What this entry has sent to endpoints that are known to be limited.
+  RatesByEndpoint news(const std::map<EndpointId, ServiceId> &Services,
+                       TimePoint Now) const;
+  /// Sets the sum of the reports of all other entries.
+  void setRemoteNews(RatesByEndpoint Next, TimePoint Now);
+
+private:
+  /// What was sent to one endpoint.
+  struct EndpointUse {
+    SlidingCount Sent;
+    /// The tokens at TokensAt; empty before a limit is known.
+    std::optional<double> Tokens;
+    TimePoint TokensAt;
+  };
+
+  /// Begins to save up tokens for the endpoint unless that has begun.
+  void startTokens(const EndpointId &Endpoint, TimePoint Now);
+
+  bool isRemoteRecent(TimePoint Now) const;
+  /// The tokens for the endpoint, whose limit is \p Limit.
+  double tokens(const RateQuery &Query, double Limit, TimePoint Now) const;
+
+  const std::uint64_t Seed;
+  std::map<EndpointId, double> Stated;
+  std::map<EndpointId, EndpointUse> Uses;
+  std::map<ServiceId, SlidingCount> SentInAll;
+  RatesByEndpoint Remote;
+  std::optional<TimePoint> RemoteAt;
+};
+
+} // namespace tamarack
+
+#endif // TAMARACK_RELAY_RATELIMITS_H
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -36,6 +36,9 @@
                             ? Context.Metadata.RequestId
                             : Context.Metadata.Program.text();
   std::optional<EndpointEntry> Chosen = Endpoints.choose(Query, steadyNow());
+  Context.RateLimitDelay =
+      Chosen ? std::nullopt
+             : Endpoints.rateLimitDelay(Context.Service, steadyNow());
   if (Chosen) {
     LogLine("entry.choice")
         .with("request", Context.Metadata.RequestId)
@@ -95,7 +98,7 @@
     const ResponseMetadata Metadata = Wire.readResponseMetadata(*Head);
     // Status 421 comes from another instance at the endpoint's address.
     if (Head->Status != 421)
-      recordLeaving(Context, From, Metadata);
+      recordEndpointState(Context, From, Metadata);
     const bool Matches =
         Metadata.RequestId == Context.Metadata.RequestId ||
         (Metadata.RequestId.empty() && !isSuccess(Head->Status));
@@ -114,13 +117,20 @@
       "the endpoint answered only other requests on this connection");
 }
 
-void Relay::Impl::recordLeaving(const RequestContext &Context,
-                                const EndpointId &From,
-                                const ResponseMetadata &Metadata) {
+void Relay::Impl::recordEndpointState(const RequestContext &Context,
+                                      const EndpointId &From,
+                                      const ResponseMetadata &Metadata) {
   if (Metadata.IsLeaving && Endpoints.onLeaving(From, steadyNow()))
     LogLine("entry.endpoint_leaving")
         .with("request", Context.Metadata.RequestId)
         .with("endpoint", From);
+  if (Endpoints.onRateLimit(From, Metadata.RateLimit, steadyNow()))
+    LogLine("entry.endpoint_limit")
+        .with("request", Context.Metadata.RequestId)
+        .with("endpoint", From)
+        .with("per_second", Metadata.RateLimit
+                                ? std::to_string(*Metadata.RateLimit)
+                                : std::string("none"));
 }
 
 void Relay::Impl::recordAnswer(const EndpointEntry &To, int Status) {
@@ -177,7 +187,7 @@
     co_return AttemptResult{
         AttemptOutcome::NotRun, {}, "could not connect to the endpoint"};
   const TimePoint SentAt = steadyNow();
-  Endpoints.onRequestStarted(To.Endpoint);
+  Endpoints.onRequestStarted(To.Endpoint, SentAt);
   Expected<HttpHead> Head =
       co_await readMatchingHead(Context, *Call, To.Endpoint);
   Expected<std::string> Body =
--- a/packages/relay/src/EndpointTable.cpp
+++ b/packages/relay/src/EndpointTable.cpp
@@ -47,6 +47,15 @@
 /// How long the reports of other entries are valid. Busy entries report every
 /// 40 ms.
 constexpr Duration RemoteNewsLifetime = std::chrono::seconds(1);
+/// The part of a rate limit that first turns of programs may use. The rest is
+/// kept for programs under way, whose earlier turns would be lost.
+constexpr double FirstTurnPart = 0.8;
+/// The lowest sum of rate limits, in requests per second, for which a delay is
+/// worked out.
+constexpr double MinRate = 0.01;
+/// The part of a rate limit that entries of other regions use together. The
+/// entries of the endpoint's region do not hear of them.
+constexpr double OtherRegionPart = 0.25;
 /// How long the announced shutdown of an endpoint that is no longer listed is
 /// remembered. Entries that expired in an outage of the platform return within
 /// seconds of its end.
@@ -55,7 +64,7 @@
 } // namespace
 
 EndpointTable::EndpointTable(EndpointTableOptions Options)
-    : Options(std::move(Options)) {}
+    : Options(std::move(Options)), Rates(this->Options.Seed) {}
 
 std::vector<std::string>
 EndpointTable::replace(std::vector<EndpointEntry> Entries, TimePoint Now) {
@@ -75,13 +84,16 @@
       Updated.BackoffUntil = {};
       Updated.Outcomes = {};
       Updated.Prompts.clear();
+      Rates.forget(Updated.Entry.Endpoint);
     }
     Updated.Entry = std::move(Entry);
     Next[Updated.Entry.Endpoint] = std::move(Updated);
   }
   for (const auto &[Endpoint, Removed] : Statuses)
-    if (Next.count(Endpoint) == 0)
+    if (Next.count(Endpoint) == 0) {
       Stale.push_back(Removed.Entry.Address);
+      Rates.forget(Endpoint);
+    }
   Statuses.swap(Next);
   forgetOldLeaving(Now);
   return Stale;
@@ -114,17 +126,21 @@
 
 EndpointNews EndpointTable::news(TimePoint Now) const {
   EndpointNews Result;
+  std::map<EndpointId, ServiceId> Services;
   for (const auto &[Endpoint, Status] : Statuses) {
+    Services.emplace(Endpoint, Status.Entry.Service);
     if (Status.Running > 0)
       Result.InFlight[Endpoint] = Status.Running;
     const OutcomeCounts Counts = Status.Outcomes.counts(Now);
     if (Counts.Failures > 0)
       Result.Outcomes[Endpoint] = Counts;
   }
+  Result.Rates = Rates.news(Services, Now);
   return Result;
 }
 
 void EndpointTable::setRemoteNews(EndpointNews Next, TimePoint Now) {
+  Rates.setRemoteNews(std::move(Next.Rates), Now);
   RemoteNews = std::move(Next);
   RemoteNewsAt = Now;
 }
@@ -158,6 +174,10 @@
   return Result;
 }
 
+int EndpointTable::distanceTo(const EndpointStatus &Candidate) const {
+  return Options.Distance ? Options.Distance(Candidate.Entry.DataCentre) : 0;
+}
+
 /// The time to prefill the part of the prompt that the endpoint has not cached.
 double EndpointTable::prefillMs(const EndpointStatus &Candidate,
                                 const EndpointQuery &Query) {
@@ -182,8 +202,7 @@
     Cost += prefillMs(Candidate, Query) * (1 + Running);
   if (Running >= Slots)
     Cost += TurnMs * (Running - Slots + 1) / Slots;
-  const int Distance =
-      Options.Distance ? Options.Distance(Entry.DataCentre) : 0;
+  const int Distance = distanceTo(Candidate);
   if (Distance >= 2)
     Cost += OtherRegionMs;
   else if (Distance == 1)
@@ -194,12 +213,54 @@
   return Cost;
 }
 
+bool EndpointTable::isUsable(const EndpointStatus &Candidate,
+                             const ServiceId &Service) const {
+  return Candidate.Entry.Service == Service &&
+         Candidate.Entry.State == EndpointState::Ready &&
+         !isLeaving(Candidate.Entry);
+}
+
+RateQuery EndpointTable::rateQuery(const EndpointStatus &Candidate) const {
+  RateQuery Result{Candidate.Entry.Endpoint, Candidate.Entry.Service, 1, 1};
+  if (distanceTo(Candidate) >= 2)
+    Result.RegionPart = OtherRegionPart;
+  return Result;
+}
+
+bool EndpointTable::isWithinRate(const EndpointStatus &Candidate,
+                                 const EndpointQuery &Query,
+                                 TimePoint Now) const {
+  RateQuery Rate = rateQuery(Candidate);
+  if (!Query.Prompt.empty() && Query.LastEndpoint.empty())
+    Rate.KindPart = FirstTurnPart;
+  return Rates.admits(Rate, Now);
+}
+
+std::optional<Duration> EndpointTable::rateLimitDelay(const ServiceId &Service,
+                                                      TimePoint Now) const {
+  double PerSecond = 0;
+  bool AnyUsable = false;
+  for (const auto &[Endpoint, Status] : Statuses) {
+    if (!isUsable(Status, Service))
+      continue;
+    const std::optional<double> Limit = Rates.limitOf(Endpoint, Now);
+    if (!Limit)
+      return std::nullopt;
+    AnyUsable = true;
+    const RateQuery Rate = rateQuery(Status);
+    PerSecond += *Limit * Rate.RegionPart * Rates.shareOf(Rate, Now);
+  }
+  if (!AnyUsable)
+    return std::nullopt;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(1 / std::max(PerSecond, MinRate)));
+}
+
 std::optional<EndpointEntry> EndpointTable::choose(const EndpointQuery &Query,
                                                    TimePoint Now) const {
   std::vector<const EndpointStatus *> Candidates;
   for (const auto &[Endpoint, Status] : Statuses)
-    if (Status.Entry.Service == Query.Service &&
-        Status.Entry.State == EndpointState::Ready && !isLeaving(Status.Entry))
+    if (isUsable(Status, Query.Service))
       Candidates.push_back(&Status);
   const std::set<const EndpointStatus *> Outliers = outliersOf(Candidates, Now);
   struct Ranked {
@@ -209,7 +270,8 @@
   std::vector<Ranked> Order;
   for (const EndpointStatus *Candidate : Candidates) {
     const EndpointId &Endpoint = Candidate->Entry.Endpoint;
-    if (Query.Exclude.count(Endpoint) == 0)
+    if (Query.Exclude.count(Endpoint) == 0 &&
+        isWithinRate(*Candidate, Query, Now))
       Order.push_back(
           {stableHash(Query.AffinityKey, stableHash(Endpoint.text())),
            Candidate});
@@ -235,13 +297,21 @@
   return Best->Entry;
 }
 
-void EndpointTable::onRequestStarted(const EndpointId &Endpoint,
+bool EndpointTable::onRateLimit(const EndpointId &Endpoint,
+                                std::optional<double> PerSecond,
+                                TimePoint Now) {
+  return Statuses.count(Endpoint) > 0 &&
+         Rates.onStated(Endpoint, PerSecond, Now);
+}
+
+void EndpointTable::onRequestStarted(const EndpointId &Endpoint, TimePoint Now,
                                      const std::vector<PromptPart> &Prompt,
                                      TokenCount MemoryTokens) {
   const auto It = Statuses.find(Endpoint);
   if (It == Statuses.end())
     return;
   ++It->second.Running;
+  Rates.onSent(rateQuery(It->second), Now);
   if (!Prompt.empty())
     It->second.Prompts.recordPrompt(Prompt, MemoryTokens);
 }
--- /dev/null
+++ b/packages/relay/src/RateLimits.cpp
@@ -0,0 +1,167 @@
+#include "tamarack/relay/RateLimits.h"
+
+#include <algorithm>
+
+namespace tamarack {
+namespace {
+
+/// How long the reports of other entries are valid. Busy entries report every
+/// 40 ms.
+constexpr Duration RemoteLifetime = std::chrono::seconds(1);
+/// An entry saves up the tokens of this time, and at least one.
+constexpr double MaxSavedSeconds = 1;
+/// The share of an entry that has not heard from any other one yet.
+constexpr double UnknownShare = 0.25;
+
+double inPeriod(double PerSecond) {
+  return PerSecond *
+         std::chrono::duration<double>(SlidingCount::Period).count();
+}
+
+} // namespace
+
+std::int64_t SlidingCount::slotNumber(TimePoint Time) {
+  return Time.time_since_epoch() / SlotLength;
+}
+
+void SlidingCount::add(TimePoint Now) {
+  const std::int64_t Slot = slotNumber(Now);
+  const std::int64_t Passed = std::min(Slot - LastSlot, Slots);
+  for (std::int64_t Back = 0; Back < Passed; ++Back)
+    Counts[static_cast<std::size_t>((Slot - Back) % Slots)] = 0;
+  LastSlot = std::max(LastSlot, Slot);
+  ++Counts[static_cast<std::size_t>(LastSlot % Slots)];
+}
+
+std::uint32_t SlidingCount::count(TimePoint Now) const {
+  std::uint32_t Result = 0;
+  const std::int64_t Oldest =
+      std::max(slotNumber(Now) - Slots, std::int64_t(0));
+  for (std::int64_t Slot = std::max(Oldest, LastSlot - Slots) + 1;
+       Slot <= LastSlot; ++Slot)
+    Result += Counts[static_cast<std::size_t>(Slot % Slots)];
+  return Result;
+}
+
+bool RateLimits::onStated(const EndpointId &Endpoint,
+                          std::optional<double> PerSecond, TimePoint Now) {
+  const auto Known = Stated.find(Endpoint);
+  if (!PerSecond) {
+    if (Known == Stated.end())
+      return false;
+    Stated.erase(Known);
+    Uses[Endpoint].Tokens.reset();
+    return true;
+  }
+  if (Known != Stated.end() && Known->second == *PerSecond)
+    return false;
+  Stated[Endpoint] = *PerSecond;
+  startTokens(Endpoint, Now);
+  return true;
+}
+
+void RateLimits::startTokens(const EndpointId &Endpoint, TimePoint Now) {
+  constexpr std::uint64_t Steps = 1000;
+  EndpointUse &Use = Uses[Endpoint];
+  if (Use.Tokens)
+    return;
+  Use.Tokens = static_cast<double>(stableHash(Endpoint.text(), Seed) % Steps) /
+               static_cast<double>(Steps);
+  Use.TokensAt = Now;
+}
+
+void RateLimits::forget(const EndpointId &Endpoint) {
+  Stated.erase(Endpoint);
+  Uses.erase(Endpoint);
+  Remote.erase(Endpoint);
+}
+
+void RateLimits::onSent(const RateQuery &Query, TimePoint Now) {
+  EndpointUse &Use = Uses[Query.Endpoint];
+  if (const std::optional<double> Limit = limitOf(Query.Endpoint, Now)) {
+    Use.Tokens = tokens(Query, *Limit, Now) - 1;
+    Use.TokensAt = Now;
+  }
+  Use.Sent.add(Now);
+  SentInAll[Query.Service].add(Now);
+}
+
+bool RateLimits::isRemoteRecent(TimePoint Now) const {
+  return RemoteAt && Now - *RemoteAt <= RemoteLifetime;
+}
+
+std::optional<double> RateLimits::limitOf(const EndpointId &Endpoint,
+                                          TimePoint Now) const {
+  if (const auto Own = Stated.find(Endpoint); Own != Stated.end())
+    return Own->second;
+  const auto Other = Remote.find(Endpoint);
+  if (Other == Remote.end() || !isRemoteRecent(Now))
+    return std::nullopt;
+  return Other->second.Limit;
+}
+
+double RateLimits::shareOf(const RateQuery &Query, TimePoint Now) const {
+  if (!RemoteAt)
+    return UnknownShare;
+  const auto Sent = SentInAll.find(Query.Service);
+  // The request in question counts as demand, too.
+  const double Own =
+      1 + (Sent == SentInAll.end() ? 0 : Sent->second.count(Now));
+  const auto Others = Remote.find(Query.Endpoint);
+  return Own / (Own + (Others == Remote.end() ? 0 : Others->second.Demand));
+}
+
+double RateLimits::tokens(const RateQuery &Query, double Limit,
+                          TimePoint Now) const {
+  const auto Known = Uses.find(Query.Endpoint);
+  const double Rate = Limit * Query.RegionPart * shareOf(Query, Now);
+  const double Most = std::max(1.0, Rate * MaxSavedSeconds);
+  if (Known == Uses.end() || !Known->second.Tokens)
+    return 0;
+  const double Seconds =
+      std::chrono::duration<double>(Now - Known->second.TokensAt).count();
+  return std::min(Most, *Known->second.Tokens + Rate * Seconds);
+}
+
+bool RateLimits::admits(const RateQuery &Query, TimePoint Now) const {
+  const std::optional<double> Limit = limitOf(Query.Endpoint, Now);
+  if (!Limit)
+    return true;
+  const auto Known = Uses.find(Query.Endpoint);
+  double Total = Known == Uses.end() ? 0 : Known->second.Sent.count(Now);
+  if (const auto Others = Remote.find(Query.Endpoint);
+      Others != Remote.end() && isRemoteRecent(Now))
+    Total += Others->second.Sent;
+  return Total < inPeriod(*Limit) * Query.RegionPart * Query.KindPart &&
+         tokens(Query, *Limit, Now) >= 1;
+}
+
+RatesByEndpoint
+RateLimits::news(const std::map<EndpointId, ServiceId> &Services,
+                 TimePoint Now) const {
+  RatesByEndpoint Result;
+  for (const auto &[Endpoint, Service] : Services) {
+    if (!limitOf(Endpoint, Now))
+      continue;
+    EndpointRate &Rate = Result[Endpoint];
+    // Only what the endpoint told this entry itself is passed on, so that a
+    // limit that has ended does not live on in the reports.
+    if (const auto Own = Stated.find(Endpoint); Own != Stated.end())
+      Rate.Limit = Own->second;
+    if (const auto Use = Uses.find(Endpoint); Use != Uses.end())
+      Rate.Sent = Use->second.Sent.count(Now);
+    if (const auto Sent = SentInAll.find(Service); Sent != SentInAll.end())
+      Rate.Demand = Sent->second.count(Now);
+  }
+  return Result;
+}
+
+void RateLimits::setRemoteNews(RatesByEndpoint Next, TimePoint Now) {
+  Remote = std::move(Next);
+  RemoteAt = Now;
+  for (const auto &[Endpoint, Rate] : Remote)
+    if (Rate.Limit)
+      startTokens(Endpoint, Now);
+}
+
+} // namespace tamarack
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -1,9 +1,12 @@
 #include "RelayImpl.h"
 
+#include <algorithm>
+
 namespace tamarack {
 
 using internal::AttemptOutcome;
 using internal::AttemptResult;
+using internal::RateLimitReason;
 using internal::RequestContext;
 
 namespace {
@@ -15,6 +18,9 @@
 /// probably have: a new connection leads to one of them.
 constexpr Duration RetryAfterElsewhere = std::chrono::milliseconds(50);
 
+/// The longest that a caller is told to wait, since limits may end any time.
+constexpr Duration MaxRetryAfter = std::chrono::seconds(2);
+
 /// Whether another instance can probably serve a request that was refused with
 /// \p Kind.
 bool isLocalCause(ErrorKind Kind) {
@@ -22,8 +28,11 @@
          Kind == ErrorKind::PlatformUnavailable;
 }
 
-Duration retryAfter(ErrorKind Kind) {
-  return isLocalCause(Kind) ? RetryAfterElsewhere : RetryAfterFull;
+Duration retryAfter(const RequestContext &Context, ErrorKind Kind) {
+  if (isLocalCause(Kind))
+    return RetryAfterElsewhere;
+  return std::clamp(Context.RateLimitDelay.value_or(RetryAfterFull),
+                    RetryAfterFull, MaxRetryAfter);
 }
 
 /// Formats \p Span in seconds with three decimals.
@@ -167,7 +176,7 @@
   Answer.Head.Fields.add("Content-Type", "text/plain");
   if (Mapping.HttpStatus == 503)
     Answer.Head.Fields.add("Retry-After",
-                           formatSeconds(retryAfter(Failure.Kind)));
+                           formatSeconds(retryAfter(Context, Failure.Kind)));
   if (isLocalCause(Failure.Kind))
     Context.Caller.closeAfterResponse();
   Metrics.countAnswer(Mapping.HttpStatus,
@@ -195,6 +204,8 @@
   std::string FailureReason = "no endpoint is available";
   while (!Context.isCancelled()) {
     const std::optional<EndpointEntry> To = chooseNextEndpoint(Context);
+    if (!To && Context.RateLimitDelay && Context.PossibleRuns == 0)
+      FailureReason = RateLimitReason;
     if (!To)
       break;
     AttemptResult Result = co_await attemptPlain(Context, *To);
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -14,6 +14,10 @@
 
 namespace internal {
 
+/// Why a request is refused if the rate limits of all endpoints are used up.
+inline constexpr const char *RateLimitReason =
+    "all endpoints of the service are at their rate limits";
+
 /// The state of a request from its last byte to the end of its answer.
 struct RequestContext {
   explicit RequestContext(HttpExchange &Caller) : Caller(Caller) {}
@@ -32,6 +36,9 @@
   EndpointId CurrentEndpoint;
   /// The number of endpoints that may have run the request.
   std::uint32_t PossibleRuns = 0;
+  /// Set if no endpoint was chosen because of their rate limits: the mean time
+  /// until these admit another request.
+  std::optional<Duration> RateLimitDelay;
   bool CallerDisconnected = false;
   bool Expired = false;
   /// The call in flight; aborted when the request is cancelled.
@@ -140,9 +147,11 @@
   /// Records that a request was cancelled, if the endpoint had time to answer.
   void recordSilence(const EndpointEntry &To, TimePoint SentAt,
                      bool HasAnswered);
-  /// Records that the endpoint announced its shutdown, if \p Metadata says so.
-  void recordLeaving(const internal::RequestContext &Context,
-                     const EndpointId &From, const ResponseMetadata &Metadata);
+  /// Records whether the endpoint says in \p Metadata that it is shutting down
+  /// or limits its rate.
+  void recordEndpointState(const internal::RequestContext &Context,
+                           const EndpointId &From,
+                           const ResponseMetadata &Metadata);
   /// Records that the endpoint stated that it did not run the request.
   void recordNotRun(internal::RequestContext &Context, const EndpointEntry &To,
                     const HttpHead &Head);
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -4,6 +4,7 @@
 
 namespace tamarack {
 
+using internal::RateLimitReason;
 using internal::RequestContext;
 using internal::StreamOutcome;
 using internal::StreamState;
@@ -162,7 +163,9 @@
   if (!Failure && Context.PossibleRuns == 0)
     Failure = notRunError(Context.Expired ? ErrorKind::DeadlineUnreachable
                                           : ErrorKind::Overloaded,
-                          "no endpoint accepted the request");
+                          Context.RateLimitDelay
+                              ? RateLimitReason
+                              : "no endpoint accepted the request");
   if (!Failure)
     Failure =
         Error{Context.Expired ? ErrorKind::Timeout : ErrorKind::EndpointFailed,
@@ -179,7 +182,7 @@
   if (!Call)
     co_return StreamOutcome::NotRun;
   const ServiceInfo *Info = findService(ActiveCatalog, Context.Service);
-  Endpoints.onRequestStarted(To.Endpoint, Context.Metadata.Prompt,
+  Endpoints.onRequestStarted(To.Endpoint, steadyNow(), Context.Metadata.Prompt,
                              Info == nullptr ? 0 : Info->MemoryTokens);
   Context.CurrentEndpoint = To.Endpoint;
   const TimePoint SentAt = steadyNow();
--- a/packages/relay/test/EndpointHealthTest.cpp
+++ b/packages/relay/test/EndpointHealthTest.cpp
@@ -63,7 +63,7 @@
                               {},
                               {}},
                              Now);
-    Tables[Entry].onRequestStarted(Chosen->Endpoint);
+    Tables[Entry].onRequestStarted(Chosen->Endpoint, Now);
     Running.push_back({Now + RequestTime, Entry, Chosen->Endpoint});
     ++Sent;
   }
--- a/packages/relay/test/EndpointTableTest.cpp
+++ b/packages/relay/test/EndpointTableTest.cpp
@@ -41,12 +41,12 @@
   }
   void addRunning(const std::string &Id, int Requests) {
     for (int Count = 0; Count < Requests; ++Count)
-      Endpoints.onRequestStarted(EndpointId(Id));
+      Endpoints.onRequestStarted(EndpointId(Id), Now);
   }
   /// Makes the prompt of a finished turn of the program \p Key cached there.
   void cachePromptAt(const std::string &Id, const std::string &Key) {
-    Endpoints.onRequestStarted(EndpointId(Id), {{"shared", 12000}, {Key, 3500}},
-                               400000);
+    Endpoints.onRequestStarted(EndpointId(Id), Now,
+                               {{"shared", 12000}, {Key, 3500}}, 400000);
     Endpoints.onRequestEnded(EndpointId(Id));
   }
 
@@ -122,7 +122,7 @@
 BOOST_AUTO_TEST_CASE(CountsTheLoadOfOtherEntries) {
   Endpoints.replace({entry("1"), entry("2")}, Now);
   const std::string First = chosenEndpoint("program-7");
-  Endpoints.setRemoteNews({{{EndpointId(First), 4}}, {}}, Now);
+  Endpoints.setRemoteNews({{{EndpointId(First), 4}}, {}, {}}, Now);
   BOOST_TEST(chosenEndpoint("program-7") != First);
   Endpoints.setRemoteNews({}, Now);
   BOOST_TEST(chosenEndpoint("program-7") == First);
@@ -131,7 +131,7 @@
 BOOST_AUTO_TEST_CASE(IgnoresOutdatedLoadOfOtherEntries) {
   Endpoints.replace({entry("1"), entry("2")}, Now);
   const std::string First = chosenEndpoint("program-7");
-  Endpoints.setRemoteNews({{{EndpointId(First), 9}}, {}}, Now - 2s);
+  Endpoints.setRemoteNews({{{EndpointId(First), 9}}, {}, {}}, Now - 2s);
   BOOST_TEST(chosenEndpoint("program-7") == First);
 }
 
--- a/packages/relay/test/RelayFixture.h
+++ b/packages/relay/test/RelayFixture.h
@@ -31,9 +31,14 @@
     return Result;
   }
   ResponseMetadata readResponseMetadata(const HttpHead &Head) const override {
-    return {text(Head.Fields, "Id"), Head.Fields.has("Signed"),
-            Head.Fields.has("Not-Run"), Head.Fields.has("Content-Encoding"),
-            Head.Fields.has("Leaving")};
+    return {text(Head.Fields, "Id"),
+            Head.Fields.has("Signed"),
+            Head.Fields.has("Not-Run"),
+            Head.Fields.has("Content-Encoding"),
+            Head.Fields.has("Leaving"),
+            Head.Fields.has("Rate-Limit")
+                ? std::optional(std::stod(text(Head.Fields, "Rate-Limit")))
+                : std::nullopt};
   }
   void prepareAttempt(HttpFields &Fields, const EndpointId &Endpoint,
                       Duration TimeLeft) const override {
--- a/packages/relay/test/RelayTest.cpp
+++ b/packages/relay/test/RelayTest.cpp
@@ -114,6 +114,30 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(RateLimitedEndpoints)
+
+BOOST_AUTO_TEST_CASE(GetNoRequestBeyondTheirLimit) {
+  listEndpoints({0});
+  setResponses({{signedResponse("one", "Rate-Limit: 0.2\r\n")}});
+  BOOST_TEST(sendRequest("/once/a", {{"Id", "1"}}, "b").Body == "one");
+  const HttpResponse Refused = sendRequest("/once/a", {{"Id", "2"}}, "b");
+  BOOST_TEST(Refused.Head.Status == 503);
+  const std::string *RetryAfter = Refused.Head.Fields.find("Retry-After");
+  BOOST_REQUIRE(RetryAfter != nullptr);
+  BOOST_TEST(std::stod(*RetryAfter) >= 1);
+  BOOST_TEST(Endpoints[0]->Requests.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(LeaveRequestsToOthers) {
+  setResponses({{signedResponse("done")}});
+  Endpoints[0]->Responses = {{signedResponse("done", "Rate-Limit: 0\r\n")}};
+  for (const char *Id : {"1", "2", "3", "4", "5", "6"})
+    BOOST_TEST(sendRequest("/once/a", {{"Id", Id}}, "b").Body == "done");
+  BOOST_TEST(Endpoints[0]->Requests.size() <= 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(LeavingEndpoints)
 
 BOOST_AUTO_TEST_CASE(GetNoFurtherRequestOverAKeptConnection) {
--- a/packages/turns/include/tamarack/turns/Messages.h
+++ b/packages/turns/include/tamarack/turns/Messages.h
@@ -7,6 +7,7 @@
 
 #include "tamarack/turns/TurnStore.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <vector>
@@ -68,10 +69,31 @@
 /// The outcomes at endpoints with recent failures.
 using OutcomesByEndpoint = std::map<EndpointId, OutcomeCounts>;
 
+/// What entries sent lately to an endpoint that limits its rate.
+struct EndpointRate {
+  /// The requests per second that the endpoint takes from all entries, as it
+  /// states in its responses; empty if it told the reporters no limit.
+  std::optional<double> Limit;
+  /// The requests to the endpoint.
+  std::uint32_t Sent = 0;
+  /// The requests to all endpoints of its service.
+  std::uint32_t Demand = 0;
+
+  friend EndpointRate operator+(const EndpointRate &Left,
+                                const EndpointRate &Right) {
+    return {std::max(Left.Limit, Right.Limit), Left.Sent + Right.Sent,
+            Left.Demand + Right.Demand};
+  }
+  friend bool operator==(const EndpointRate &, const EndpointRate &) = default;
+};
+
+using RatesByEndpoint = std::map<EndpointId, EndpointRate>;
+
 /// What the processes of a region tell each other about endpoints.
 struct EndpointNews {
   InFlightByEndpoint InFlight;
   OutcomesByEndpoint Outcomes;
+  RatesByEndpoint Rates;
 
   friend bool operator==(const EndpointNews &, const EndpointNews &) = default;
 };
--- a/packages/turns/src/Messages.cpp
+++ b/packages/turns/src/Messages.cpp
@@ -64,7 +64,12 @@
   for (const auto &[Endpoint, Counts] : From.Outcomes)
     Outcomes[Endpoint.text()] =
         Json::array({Counts.Failures, Counts.Successes});
-  Value = Json::array({std::move(InFlight), std::move(Outcomes)});
+  Json Rates = Json::object();
+  for (const auto &[Endpoint, Rate] : From.Rates)
+    Rates[Endpoint.text()] =
+        Json::array({valueOrNull(Rate.Limit), Rate.Sent, Rate.Demand});
+  Value =
+      Json::array({std::move(InFlight), std::move(Outcomes), std::move(Rates)});
 }
 
 void from_json(const Json &Value, EndpointNews &To) {
@@ -74,6 +79,10 @@
   for (const auto &[Endpoint, Counts] : Value.at(1).items())
     To.Outcomes[EndpointId(Endpoint)] = {Counts.at(0).get<std::uint32_t>(),
                                          Counts.at(1).get<std::uint32_t>()};
+  for (const auto &[Endpoint, Rate] : Value.at(2).items())
+    To.Rates[EndpointId(Endpoint)] = {readNullable<double>(Rate.at(0)),
+                                      Rate.at(1).get<std::uint32_t>(),
+                                      Rate.at(2).get<std::uint32_t>()};
 }
 
 void to_json(Json &Value, const EndpointLoadReport &From) {
