End connections on which an endpoint sends bytes that are no answer

Servers in trouble may send bytes that are no answer without end, in a head or in a body, until the caller closes. An entry read up to 16 MB of a body before it looked whether the response was signed, of an answer to another request and of a refusal as well, and kept them in its memory; the smallest entries have 88 MB for everything. In an event without end it searched all that had come for the event's end with each piece, which kept the event loop busy for the 2 s until the deadline.

--- a/packages/net/include/tamarack/net/HttpCall.h
+++ b/packages/net/include/tamarack/net/HttpCall.h
@@ -98,8 +98,9 @@
   Task<Expected<HttpHead>> readHead();
   /// Discards the rest of the current response, which belongs to an earlier
   /// request, so that the next readHead() reads the response after it. Fails
-  /// with EndpointFailed if the server closes the connection after it.
-  Task<Expected<void>> skipAnswer();
+  /// with EndpointFailed if the server closes the connection after it, or if
+  /// the rest is longer than \p MaxBytes.
+  Task<Expected<void>> skipAnswer(std::size_t MaxBytes);
   /// Returns the next bytes of the body, or std::nullopt at its end. Fails with
   /// EndpointFailed if the connection ends before the body does.
   Task<Expected<std::optional<std::string>>> readPiece();
--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -204,13 +204,18 @@
   co_return std::optional<std::string>(std::exchange(Body, {}));
 }
 
-Task<Expected<void>> HttpCall::skipAnswer() {
+Task<Expected<void>> HttpCall::skipAnswer(std::size_t MaxBytes) {
+  std::size_t Skipped = 0;
   while (true) {
     const Expected<std::optional<std::string>> Piece = co_await readPiece();
     if (!Piece)
       co_return tl::unexpected(Piece.error());
     if (!*Piece)
       break;
+    Skipped += (*Piece)->size();
+    if (Skipped > MaxBytes)
+      co_return refuse(ErrorKind::EndpointFailed,
+                       "the response to an earlier request is too long");
   }
   if (!Inner->Reader->keep_alive() || Inner->Reader->need_eof())
     co_return refuse(ErrorKind::EndpointFailed,
--- a/packages/relay/include/tamarack/relay/EventStream.h
+++ b/packages/relay/include/tamarack/relay/EventStream.h
@@ -30,6 +30,8 @@
   std::optional<StreamEvent> next();
   /// Whether bytes of an incomplete event are buffered.
   bool hasPartialEvent() const { return !Buffer.empty(); }
+  /// The bytes of the incomplete event, once next() has returned nothing.
+  std::size_t partialBytes() const { return Buffer.size(); }
 
 private:
   std::string Buffer;
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -14,6 +14,11 @@
 /// The maximum number of responses to other requests that are skipped on one
 /// connection.
 constexpr int MaxSkippedResponses = 2;
+/// The maximum length of a response to another request that is skipped, and of
+/// the body that is read of a response which states that the request was not
+/// run. Longer ones cost less if the connection is closed.
+constexpr std::size_t MaxSkippedBytes = 256U << 10U;
+constexpr std::size_t MaxRefusalBytes = 64U << 10U;
 /// A request that is cancelled after this time without any response counts
 /// against the endpoint.
 constexpr Duration SilentRequestTime = std::chrono::milliseconds(900);
@@ -108,7 +113,7 @@
         .with("request", Context.Metadata.RequestId)
         .with("answer_to", Metadata.RequestId)
         .with("status", Head->Status);
-    const Expected<void> SkipResult = co_await Call.skipAnswer();
+    const Expected<void> SkipResult = co_await Call.skipAnswer(MaxSkippedBytes);
     if (!SkipResult)
       co_return tl::unexpected(SkipResult.error());
   }
@@ -152,7 +157,17 @@
   return Metadata.IsSigned && !Metadata.IsEncoded && Head.Status >= 200;
 }
 
-Task<Expected<std::string>> Relay::Impl::readBody(HttpCall &Call) {
+bool Relay::Impl::isRefusal(const HttpHead &Head) const {
+  return Head.Status == 421 || Wire.readResponseMetadata(Head).NotRun;
+}
+
+Task<Expected<std::string>> Relay::Impl::readBody(HttpCall &Call,
+                                                  const HttpHead &Head) {
+  const bool Refused = isRefusal(Head);
+  if (!Refused && !isForwardable(Head))
+    co_return refuse(
+        ErrorKind::EndpointFailed,
+        "the response is interim, encoded or not signed by the endpoint");
   std::string Body;
   while (true) {
     Expected<std::optional<std::string>> Piece = co_await Call.readPiece();
@@ -161,6 +176,10 @@
     if (!*Piece)
       co_return Body;
     Body += **Piece;
+    if (Refused && Body.size() > MaxRefusalBytes) {
+      Call.abort();
+      co_return Body;
+    }
   }
 }
 
@@ -193,16 +212,15 @@
   Expected<std::string> Body =
       refuse(ErrorKind::EndpointFailed, "no response head was received");
   if (Head) {
-    Body = co_await readBody(*Call);
+    Body = co_await readBody(*Call, *Head);
   }
   Endpoints.onRequestEnded(To.Endpoint);
-  if (Head && Body &&
-      (Head->Status == 421 || Wire.readResponseMetadata(*Head).NotRun)) {
+  if (Head && Body && isRefusal(*Head)) {
     Call->finish();
     recordNotRun(Context, To, *Head);
     co_return AttemptResult{AttemptOutcome::NotRun, {}, "endpoints are full"};
   }
-  if (!Head || !Body || !isForwardable(*Head)) {
+  if (!Head || !Body) {
     Call->abort();
     if (Context.isCancelled()) {
       recordSilence(To, SentAt, Head.has_value());
@@ -211,10 +229,7 @@
       Metrics.countRetry(RelayRetryReason::Broken);
     }
     const std::string FailureReason =
-        !Head ? Head.error().Message
-        : !Body
-            ? Body.error().Message
-            : "the response is interim, encoded or not signed by the endpoint";
+        !Head ? Head.error().Message : Body.error().Message;
     LogLine("entry.broken_answer")
         .with("request", Context.Metadata.RequestId)
         .with("endpoint", To.Endpoint)
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -138,7 +138,12 @@
                                             HttpCall &Call, EndpointId From);
   Task<internal::AttemptResult> attemptPlain(internal::RequestContext &Context,
                                              EndpointEntry To);
-  Task<Expected<std::string>> readBody(HttpCall &Call);
+  /// Reads the body of a response that is forwardable or a refusal, of a
+  /// refusal only the beginning. Fails at once for any other response, whose
+  /// body may have no end.
+  Task<Expected<std::string>> readBody(HttpCall &Call, const HttpHead &Head);
+  /// Whether the response states that the request was not run.
+  bool isRefusal(const HttpHead &Head) const;
   /// Whether a response may be forwarded to the caller: it is signed by the
   /// endpoint, not encoded and not interim.
   bool isForwardable(const HttpHead &Head) const;
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -16,6 +16,9 @@
 /// of one connection that stopped responding.
 constexpr Duration LedgerTimeout = std::chrono::milliseconds(1000);
 
+/// The maximum length of one event. Events hold the text of a few tokens.
+constexpr std::size_t MaxEventBytes = 1U << 20U;
+
 /// Parses \p Text as a decimal number; nothing if any other character is in it.
 std::optional<std::uint64_t> parseNumber(const std::string &Text) {
   std::uint64_t Result = 0;
@@ -226,10 +229,10 @@
     const bool Complete = co_await relayEvents(Context, State, Call);
     co_return Complete ? StreamOutcome::Finished : StreamOutcome::Indeterminate;
   }
-  Expected<std::string> Body = co_await readBody(Call);
-  if (Body && (Head.Status == 421 || Wire.readResponseMetadata(Head).NotRun))
+  Expected<std::string> Body = co_await readBody(Call, Head);
+  if (Body && isRefusal(Head))
     co_return StreamOutcome::NotRun;
-  if (!Body || !isForwardable(Head) || Context.isCancelled())
+  if (!Body || Context.isCancelled())
     co_return StreamOutcome::Indeterminate;
   HttpResponse Response{std::move(Head), std::move(*Body)};
   co_await forwardResponse(Context, From, std::move(Response));
@@ -261,6 +264,8 @@
       }
       Ready += Event->Text;
     }
+    if (State.Splitter.partialBytes() > MaxEventBytes)
+      co_return false;
     if (Ready.empty())
       continue;
     const bool Sent = co_await Context.Caller.sendChunk(Ready);
--- a/packages/relay/test/RelayFixture.h
+++ b/packages/relay/test/RelayFixture.h
@@ -65,6 +65,9 @@
   bool CloseAfter = false;
   /// The delay before the response.
   Duration Delay{0};
+  /// Sent again and again after Bytes until the entry closes the connection;
+  /// nothing if empty.
+  std::string Endless = {};
 };
 
 /// A complete response that is signed and names the request.
@@ -118,6 +121,8 @@
   std::vector<std::string> Requests;
   /// Connections that the entry closed.
   std::size_t ClosedConnections = 0;
+  /// The bytes of endless responses that were sent.
+  std::size_t EndlessBytesSent = 0;
 
 private:
   static Task<void> acceptConnections(ScriptedEndpoint &Self) {
@@ -176,11 +181,25 @@
                          Request.substr(Id, Request.find('\r', Id) - Id));
       co_await asio::async_write(Socket, asio::buffer(Response),
                                  storeErrorIn(Failure));
-      if (Next.CloseAfter)
+      if (!Next.Endless.empty()) {
+        co_await sendWithoutEnd(Self, Socket, Next.Endless);
+      }
+      if (Next.CloseAfter || !Next.Endless.empty())
         co_return;
     }
   }
 
+  static Task<void> sendWithoutEnd(ScriptedEndpoint &Self, Tcp::socket &Socket,
+                                   const std::string &Text) {
+    ErrorCode Failure;
+    // A small buffer, so that what is sent is about what the entry reads.
+    Socket.set_option(asio::socket_base::send_buffer_size(8192), Failure);
+    while (!Failure)
+      Self.EndlessBytesSent += co_await asio::async_write(
+          Socket, asio::buffer(Text), storeErrorIn(Failure));
+    ++Self.ClosedConnections;
+  }
+
   Loop &Io;
   std::optional<Tcp::acceptor> Listener;
 };
--- a/packages/relay/test/RelayTest.cpp
+++ b/packages/relay/test/RelayTest.cpp
@@ -114,6 +114,82 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against an entry that reads without end, and into its memory, what is
+/// no answer to its request.
+BOOST_AUTO_TEST_SUITE(BytesWithoutEndThatAreNoAnswer)
+
+/// The most bytes that an endpoint may get rid of. Contains what the buffers of
+/// the connection hold.
+constexpr std::size_t MaxBytesRead = 2U << 20U;
+
+const std::string Filler(4096, 'x');
+const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
+
+/// Lets the endpoints answer with \p Head and, without end, \p Endless.
+void checkIsClosed(RelayFixture &Self, const std::string &Head,
+                   const std::string &Endless) {
+  ScriptedResponse Response;
+  Response.Bytes = Head;
+  Response.Endless = Endless;
+  Self.setResponses({Response});
+  Self.listEndpoints({0});
+  const TimePoint SentAt = steadyNow();
+  const HttpResponse Answer = Self.sendRequest("/safe/a", {{"Id", "1"}});
+  BOOST_TEST(Answer.Head.Status >= 500);
+  // Long before the deadline of 2 s.
+  BOOST_TEST((steadyNow() - SentAt < Duration(1s)));
+  Self.until([&Self] { return Self.Endpoints[0]->ClosedConnections == 1; });
+  BOOST_TEST(Self.Endpoints[0]->EndlessBytesSent < MaxBytesRead);
+}
+
+BOOST_AUTO_TEST_CASE(EndTheConnectionIfTheyAreNoHttp) {
+  checkIsClosed(*this, "", Filler);
+}
+
+BOOST_AUTO_TEST_CASE(EndTheConnectionInAHead) {
+  checkIsClosed(*this, "HTTP/1.1 200 OK\r\nId: {id}\r\n",
+                "Field: " + Filler + "\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(EndTheConnectionInAnUnsignedBody) {
+  checkIsClosed(*this, "HTTP/1.1 200 OK\r\nId: {id}\r\n" + Chunked,
+                encodeChunk(Filler));
+}
+
+BOOST_AUTO_TEST_CASE(EndTheConnectionInABodyWithoutLength) {
+  checkIsClosed(*this, "HTTP/1.1 500 Failed\r\nId: {id}\r\n\r\n", Filler);
+}
+
+BOOST_AUTO_TEST_CASE(EndTheConnectionInTheAnswerToAnotherRequest) {
+  checkIsClosed(*this,
+                "HTTP/1.1 200 OK\r\nId: another\r\nSigned: s\r\n" + Chunked,
+                encodeChunk(Filler));
+}
+
+BOOST_AUTO_TEST_CASE(EndTheConnectionAfterARefusal) {
+  checkIsClosed(*this,
+                "HTTP/1.1 503 Full\r\nId: {id}\r\nNot-Run: 1\r\n" + Chunked,
+                encodeChunk(Filler));
+}
+
+BOOST_AUTO_TEST_CASE(EndAStreamInAnEvent) {
+  ScriptedResponse Response;
+  Response.Bytes = signedStreamHead();
+  Response.Endless = encodeChunk("data: " + Filler + "\n");
+  setResponses({Response});
+  const TimePoint SentAt = steadyNow();
+  BOOST_TEST(sendTurn("1", "1000").Head.Status == 0);
+  BOOST_TEST((steadyNow() - SentAt < Duration(1s)));
+  until([this] {
+    return Endpoints[0]->ClosedConnections + Endpoints[1]->ClosedConnections ==
+           1;
+  });
+  BOOST_TEST(Endpoints[0]->EndlessBytesSent + Endpoints[1]->EndlessBytesSent <
+             MaxBytesRead);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(RateLimitedEndpoints)
 
 BOOST_AUTO_TEST_CASE(GetNoRequestBeyondTheirLimit) {
