Ask a source for all items after the store itself was asked

Cause: an entry that had asked the store itself saw that keys had expired and removed them. Its ledger had held their removal back and saw them return, so for it nothing had changed. The entry asked for the changes after its position in the ledger's feed, got none, and took itself for up to date: a position says what a follower has got from a source, not that both hold the same.

The position is now void once the store itself was asked, and the next page must hold all items. Weighed against it: a digest of the keys in each page, which costs bytes in all pages and tells of a difference only after it arose.

--- a/packages/feed/include/tamarack/feed/FeedFollower.h
+++ b/packages/feed/include/tamarack/feed/FeedFollower.h
@@ -48,6 +48,8 @@
   bool accept(const std::string &Source, const FeedPage &Page, Revision Applied,
               TimePoint AskedAt, TimePoint Now);
   /// Records that the store itself confirmed the state known here at \p Time.
+  /// The next page of a source must hold all items: the state is no longer that
+  /// of the source, which tells only what changed there.
   void onStoreConfirmed(TimePoint Time);
   bool needsStore(TimePoint Now) const;
   /// When the store last confirmed the state known here, directly or through a
--- a/packages/feed/src/FeedFollower.cpp
+++ b/packages/feed/src/FeedFollower.cpp
@@ -36,6 +36,7 @@
 }
 
 void FeedFollower::onStoreConfirmed(TimePoint Time) {
+  Position = {};
   ConfirmedAt = std::max(Time, ConfirmedAt.value_or(Time));
 }
 
--- a/packages/feed/test/FeedFollowerTest.cpp
+++ b/packages/feed/test/FeedFollowerTest.cpp
@@ -76,6 +76,14 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against a follower that removed a key which its source never missed:
+/// the source has no change to tell.
+BOOST_AUTO_TEST_CASE(AllItemsAreAskedForAfterTheStoreWasAsked) {
+  accept("near", page(6, 100ms));
+  Follower.onStoreConfirmed(Start + 1s);
+  BOOST_TEST((Follower.positionAt("near") == FeedPosition()));
+}
+
 BOOST_AUTO_TEST_SUITE(TheStoreIsAsked)
 
 BOOST_AUTO_TEST_CASE(OnlyIfNoSourceHasRecentNews) {
