Pass on the latest revision of an item to new followers

A follower could keep the state "draining" of a replica that had registered again as ready, for good.

Cause: a feed gives no new number to an item that changed without a change of meaning, and kept its old revision, too. A source that missed the state between (ready, draining, ready while its history was lost) then passed the item on with the first revision, which a follower that knew the state between ignored as older.

The feed now keeps the latest revision under the old number, so that complete pages carry it and changes are as few as before.

ChangeFeedTest AnItemHasItsLatestRevision failed before.

--- a/packages/feed/src/ChangeFeed.cpp
+++ b/packages/feed/src/ChangeFeed.cpp
@@ -56,8 +56,12 @@
 
 void ChangeFeed::put(const StoreItem &Item) {
   const auto Known = Items.find(Item.Key);
-  if (Known != Items.end() && SameMeaning(Known->second.Item, Item))
+  if (Known != Items.end() && SameMeaning(Known->second.Item, Item)) {
+    // A new follower may know a state between the two, which is older than this
+    // revision only.
+    Known->second.Item = Item;
     return;
+  }
   Items[Item.Key] = {Item, ++LastNumber};
 }
 
--- a/packages/feed/test/ChangeFeedTest.cpp
+++ b/packages/feed/test/ChangeFeedTest.cpp
@@ -44,6 +44,17 @@
   BOOST_TEST(keysAfter({}) == "b ");
 }
 
+/// Guards against a new follower that keeps a state which lay between two
+/// states of the same meaning: it ignores items of an older revision than its
+/// own.
+BOOST_AUTO_TEST_CASE(AnItemHasItsLatestRevision) {
+  Feed.put(item("a", "1/x", 3));
+  const FeedPosition Before = now();
+  Feed.put(item("a", "1/y", 9));
+  BOOST_TEST((Feed.pageAfter({}).Items.front() == item("a", "1/y", 9)));
+  BOOST_TEST(keysAfter(Before).empty());
+}
+
 BOOST_AUTO_TEST_CASE(ThePageOfAnotherFeedIsNoPosition) {
   Feed.put(item("a", "1"));
   BOOST_TEST(Feed.pageAfter({"other", 1}).IsComplete);
