Take an outage that a source has seen for one of the store

An entry may ask the store for the first time just after an outage: its ledgers saw the outage, their state was too old to be followed, and the entry itself has no failed call.

The pages that it got from the ledgers and did not accept say how long ago their last outage was. This now counts as an outage here, so that removals are held back as if the entry had seen it itself.

MirrorStateTest IsDelayedIfASourceHasSeenAnOutage guards it; the code before had no way to hear of it.

--- a/packages/feed/include/tamarack/feed/MirrorState.h
+++ b/packages/feed/include/tamarack/feed/MirrorState.h
@@ -18,6 +18,7 @@
 
 #include "tamarack/feed/ChangeFeed.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -68,6 +69,11 @@
   /// Records an answer of the store or of a source. Returns whether it ends an
   /// outage.
   bool onAnswer(TimePoint Now);
+  /// Records that a source, whose page was not accepted, has seen an outage at
+  /// \p At, which this process may not have noticed itself.
+  void onSourceOutage(TimePoint At) {
+    LastOutageAt = std::max(LastOutageAt, At);
+  }
   /// Records that the store no longer has the changes after appliedRevision().
   void onHistoryLost() { Listed = false; }
 
@@ -115,7 +121,8 @@
   bool Loaded = false;
   bool Listed = false;
   bool InOutage = false;
-  /// Time of the last failed call or of the answer that ended an outage.
+  /// Time of the last failed call or of the answer that ended an outage, here
+  /// or at a source.
   TimePoint LastOutageAt;
   const TimePoint StartedAt;
 };
--- a/packages/feed/test/MirrorHistoryTest.cpp
+++ b/packages/feed/test/MirrorHistoryTest.cpp
@@ -119,8 +119,10 @@
       if (From.Follower.confirmedAt())
         Page.Age = Now - *From.Follower.confirmedAt();
       if (!Self.Follower.accept(Source, Page, Self.State.appliedRevision(), Now,
-                                Now))
+                                Now)) {
+        Self.State.onSourceOutage(Now - Page.SinceOutage);
         continue;
+      }
       Self.State.onAnswer(Now);
       Self.State.applyPage(Page, Now);
       return true;
--- a/packages/feed/test/MirrorStateTest.cpp
+++ b/packages/feed/test/MirrorStateTest.cpp
@@ -80,6 +80,15 @@
   BOOST_TEST(State.delayedRemovals() == 1);
 }
 
+/// Guards against a process that drops all endpoints at once because it first
+/// asked the store just after an outage, which only its sources had noticed.
+BOOST_AUTO_TEST_CASE(IsDelayedIfASourceHasSeenAnOutage) {
+  State.onSourceOutage(Start + 1min);
+  BOOST_TEST((State.applyChanges({removal("a", 6)}, 6, Start + 61s) ==
+              MirrorRemovals{{}, {"a"}}));
+  BOOST_TEST(has("a"));
+}
+
 BOOST_AUTO_TEST_CASE(IsForgottenWhenTheKeyComesBack) {
   hearOfRemovalAfterOutage();
   State.applyChanges({item("a", 7)}, 7, Start + 66s);
