Name the rate limits in a refusal if the endpoint without one was full

The delay is now worked out from the endpoints that the request was not sent to yet. RefusalsNameTheLimitsOfTheEndpointsThatAreLeft guards it.

Tried and taken back: not to admit first turns for 0.5 s after a turn of a program under way was refused.

--- a/packages/relay/include/tamarack/relay/EndpointTable.h
+++ b/packages/relay/include/tamarack/relay/EndpointTable.h
@@ -90,10 +90,9 @@
   /// per second, or that it states none. Returns whether this is news.
   bool onRateLimit(const EndpointId &Endpoint, std::optional<double> PerSecond,
                    TimePoint Now);
-  /// The mean time until the rate limits of the endpoints of \p Service admit
-  /// another request; empty if an endpoint that is ready has no limit, or none
-  /// is ready.
-  std::optional<Duration> rateLimitDelay(const ServiceId &Service,
+  /// The mean time until the rate limits admit a request like \p Query, for
+  /// which no endpoint could be chosen; empty if the limits are not the reason.
+  std::optional<Duration> rateLimitDelay(const EndpointQuery &Query,
                                          TimePoint Now) const;
 
   /// What this entry tells the others: the requests that it runs at each
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -42,8 +42,7 @@
                             : Context.Metadata.Program.text();
   std::optional<EndpointEntry> Chosen = Endpoints.choose(Query, steadyNow());
   Context.RateLimitDelay =
-      Chosen ? std::nullopt
-             : Endpoints.rateLimitDelay(Context.Service, steadyNow());
+      Chosen ? std::nullopt : Endpoints.rateLimitDelay(Query, steadyNow());
   if (Chosen) {
     LogLine("entry.choice")
         .with("request", Context.Metadata.RequestId)
--- a/packages/relay/src/EndpointTable.cpp
+++ b/packages/relay/src/EndpointTable.cpp
@@ -236,21 +236,21 @@
   return Rates.admits(Rate, Now);
 }
 
-std::optional<Duration> EndpointTable::rateLimitDelay(const ServiceId &Service,
-                                                      TimePoint Now) const {
+std::optional<Duration>
+EndpointTable::rateLimitDelay(const EndpointQuery &Query, TimePoint Now) const {
   double PerSecond = 0;
-  bool AnyUsable = false;
+  bool AnyLimited = false;
   for (const auto &[Endpoint, Status] : Statuses) {
-    if (!isUsable(Status, Service))
+    if (!isUsable(Status, Query.Service) || Query.Exclude.count(Endpoint) > 0)
       continue;
     const std::optional<double> Limit = Rates.limitOf(Endpoint, Now);
     if (!Limit)
       return std::nullopt;
-    AnyUsable = true;
+    AnyLimited = true;
     const RateQuery Rate = rateQuery(Status);
     PerSecond += *Limit * Rate.RegionPart * Rates.shareOf(Rate, Now);
   }
-  if (!AnyUsable)
+  if (!AnyLimited)
     return std::nullopt;
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(1 / std::max(PerSecond, MinRate)));
--- a/packages/relay/test/RateLimitsTest.cpp
+++ b/packages/relay/test/RateLimitsTest.cpp
@@ -157,6 +157,22 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against a refusal that names no limit because the only endpoint
+/// without one was full.
+BOOST_AUTO_TEST_CASE(RefusalsNameTheLimitsOfTheEndpointsThatAreLeft) {
+  EndpointTable Table{EndpointTableOptions()};
+  Table.replace(
+      {{Limited, Llm, "a", {}, 16, EndpointState::Ready, 1},
+       {EndpointId("full"), Llm, "b", {}, 16, EndpointState::Ready, 1}},
+      Start);
+  Table.setRemoteNews({}, Start);
+  Table.onRateLimit(Limited, 10.0, Start);
+  EndpointQuery Query{Llm, "p", {{"shared", 100}}, EndpointId("full"), {}};
+  BOOST_TEST(!Table.rateLimitDelay(Query, Start).has_value());
+  Query.Exclude = {EndpointId("full")};
+  BOOST_TEST((Table.rateLimitDelay(Query, Start) == Duration(100ms)));
+}
+
 /// Plays entries that choose among endpoints for half a minute, where reports
 /// arrive 100 ms late. The limit is named at five seconds.
 BOOST_AUTO_TEST_SUITE(TheRequestsOfAFleetToALimitedEndpoint)
