Build rate queries for limited endpoints only; one lifetime of news

choose() built a query, with copies of two ids, for each endpoint, and each load report a map of all endpoints, although most endpoints have no limit. The lifetime of other entries' news stood in two files.

--- a/packages/relay/include/tamarack/relay/RateLimits.h
+++ b/packages/relay/include/tamarack/relay/RateLimits.h
@@ -22,6 +22,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace tamarack {
 
@@ -74,9 +75,11 @@
   /// The part of the requests to the service that this entry sends.
   double shareOf(const RateQuery &Query, TimePoint Now) const;
 
-  /// What this entry has sent to endpoints that are known to be limited.
-  RatesByEndpoint news(const std::map<EndpointId, ServiceId> &Services,
-                       TimePoint Now) const;
+  /// The endpoints whose limit this or another entry was told.
+  std::vector<EndpointId> limitedEndpoints(TimePoint Now) const;
+  /// What this entry reports of \p Endpoint to the others.
+  EndpointRate rateOf(const EndpointId &Endpoint, const ServiceId &Service,
+                      TimePoint Now) const;
   /// Sets the sum of the reports of all other entries.
   void setRemoteNews(RatesByEndpoint Next, TimePoint Now);
 
--- a/packages/relay/src/EndpointTable.cpp
+++ b/packages/relay/src/EndpointTable.cpp
@@ -44,9 +44,6 @@
 /// At most one in this many endpoints of a service is avoided as an outlier. If
 /// more of them fail, the cause is probably not in the endpoints.
 constexpr std::size_t MaxOutlierDivisor = 3;
-/// How long the reports of other entries are valid. Busy entries report every
-/// 40 ms.
-constexpr Duration RemoteNewsLifetime = std::chrono::seconds(1);
 /// The part of a rate limit that first turns of programs may use. The rest is
 /// kept for programs under way, whose earlier turns would be lost.
 constexpr double FirstTurnPart = 0.8;
@@ -126,16 +123,17 @@
 
 EndpointNews EndpointTable::news(TimePoint Now) const {
   EndpointNews Result;
-  std::map<EndpointId, ServiceId> Services;
   for (const auto &[Endpoint, Status] : Statuses) {
-    Services.emplace(Endpoint, Status.Entry.Service);
     if (Status.Running > 0)
       Result.InFlight[Endpoint] = Status.Running;
     const OutcomeCounts Counts = Status.Outcomes.counts(Now);
     if (Counts.Failures > 0)
       Result.Outcomes[Endpoint] = Counts;
   }
-  Result.Rates = Rates.news(Services, Now);
+  for (const EndpointId &Endpoint : Rates.limitedEndpoints(Now))
+    if (const auto Found = Statuses.find(Endpoint); Found != Statuses.end())
+      Result.Rates[Endpoint] =
+          Rates.rateOf(Endpoint, Found->second.Entry.Service, Now);
   return Result;
 }
 
@@ -148,7 +146,7 @@
 std::uint32_t EndpointTable::remoteRunning(const EndpointId &Endpoint,
                                            TimePoint Now) const {
   const auto It = RemoteNews.InFlight.find(Endpoint);
-  const bool IsValid = Now - RemoteNewsAt <= RemoteNewsLifetime;
+  const bool IsValid = Now - RemoteNewsAt <= EndpointNewsLifetime;
   return IsValid && It != RemoteNews.InFlight.end() ? It->second : 0;
 }
 
@@ -157,7 +155,7 @@
   OutcomeCounts Total = Candidate.Outcomes.counts(Now);
   const auto It = RemoteNews.Outcomes.find(Candidate.Entry.Endpoint);
   if (It != RemoteNews.Outcomes.end() &&
-      Now - RemoteNewsAt <= RemoteNewsLifetime)
+      Now - RemoteNewsAt <= EndpointNewsLifetime)
     Total = Total + It->second;
   return isOutlier(Total);
 }
@@ -230,6 +228,9 @@
 bool EndpointTable::isWithinRate(const EndpointStatus &Candidate,
                                  const EndpointQuery &Query,
                                  TimePoint Now) const {
+  // Most endpoints have no limit, and no query needs to be built for them.
+  if (!Rates.limitOf(Candidate.Entry.Endpoint, Now))
+    return true;
   RateQuery Rate = rateQuery(Candidate);
   if (!Query.Prompt.empty() && Query.LastEndpoint.empty())
     Rate.KindPart = FirstTurnPart;
--- a/packages/relay/src/RateLimits.cpp
+++ b/packages/relay/src/RateLimits.cpp
@@ -5,9 +5,6 @@
 namespace tamarack {
 namespace {
 
-/// How long the reports of other entries are valid. Busy entries report every
-/// 40 ms.
-constexpr Duration RemoteLifetime = std::chrono::seconds(1);
 /// An entry saves up the tokens of this time, and at least one.
 constexpr double MaxSavedSeconds = 1;
 /// The share of an entry that has not heard from any other one yet.
@@ -87,7 +84,7 @@
 }
 
 bool RateLimits::isRemoteRecent(TimePoint Now) const {
-  return RemoteAt && Now - *RemoteAt <= RemoteLifetime;
+  return RemoteAt && Now - *RemoteAt <= EndpointNewsLifetime;
 }
 
 std::optional<double> RateLimits::limitOf(const EndpointId &Endpoint,
@@ -136,23 +133,28 @@
          tokens(Query, *Limit, Now) >= 1;
 }
 
-RatesByEndpoint
-RateLimits::news(const std::map<EndpointId, ServiceId> &Services,
-                 TimePoint Now) const {
-  RatesByEndpoint Result;
-  for (const auto &[Endpoint, Service] : Services) {
-    if (!limitOf(Endpoint, Now))
-      continue;
-    EndpointRate &Rate = Result[Endpoint];
-    // Only what the endpoint told this entry itself is passed on, so that a
-    // limit that has ended does not live on in the reports.
-    if (const auto Own = Stated.find(Endpoint); Own != Stated.end())
-      Rate.Limit = Own->second;
-    if (const auto Use = Uses.find(Endpoint); Use != Uses.end())
-      Rate.Sent = Use->second.Sent.count(Now);
-    if (const auto Sent = SentInAll.find(Service); Sent != SentInAll.end())
-      Rate.Demand = Sent->second.count(Now);
-  }
+std::vector<EndpointId> RateLimits::limitedEndpoints(TimePoint Now) const {
+  std::vector<EndpointId> Result;
+  Result.reserve(Stated.size() + Remote.size());
+  for (const auto &[Endpoint, PerSecond] : Stated)
+    Result.push_back(Endpoint);
+  for (const auto &[Endpoint, Rate] : Remote)
+    if (Stated.count(Endpoint) == 0 && limitOf(Endpoint, Now))
+      Result.push_back(Endpoint);
+  return Result;
+}
+
+EndpointRate RateLimits::rateOf(const EndpointId &Endpoint,
+                                const ServiceId &Service, TimePoint Now) const {
+  EndpointRate Result;
+  // Only what the endpoint told this entry itself is passed on, so that a limit
+  // that has ended does not live on in the reports.
+  if (const auto Own = Stated.find(Endpoint); Own != Stated.end())
+    Result.Limit = Own->second;
+  if (const auto Use = Uses.find(Endpoint); Use != Uses.end())
+    Result.Sent = Use->second.Sent.count(Now);
+  if (const auto Sent = SentInAll.find(Service); Sent != SentInAll.end())
+    Result.Demand = Sent->second.count(Now);
   return Result;
 }
 
--- a/packages/turns/include/tamarack/turns/Messages.h
+++ b/packages/turns/include/tamarack/turns/Messages.h
@@ -89,6 +89,10 @@
 
 using RatesByEndpoint = std::map<EndpointId, EndpointRate>;
 
+/// How long the news of other processes are valid. Busy entries report every
+/// 40 ms.
+inline constexpr Duration EndpointNewsLifetime = std::chrono::seconds(1);
+
 /// What the processes of a region tell each other about endpoints.
 struct EndpointNews {
   InFlightByEndpoint InFlight;
