Notice the end of a limit on an endpoint that gets few requests

A limit holds as long as an endpoint's answers name it. An entry that sends an endpoint nothing gets no answer, so a limit of zero would have held until the endpoint's process was replaced, and in a large fleet, where each entry sends to a limited endpoint every half minute, a limit would have outlived its end by as long at each of them.

What an entry was told now holds for 10 s without a further answer; after that it goes by what the others report, who together get answers all the time. All entries together send a request each 4 s to an endpoint with a lower limit.

--- a/packages/relay/include/tamarack/relay/RateLimits.h
+++ b/packages/relay/include/tamarack/relay/RateLimits.h
@@ -12,6 +12,9 @@
 /// and all entries together have been within the limit. The sum alone would let
 /// all entries send at once whenever the limit has room, since reports arrive
 /// late; the tokens alone would not stop a burst after a pause.
+///
+/// A limit holds until a response states none. An entry that gets no response
+/// from the endpoint for a while goes by what the others report.
 #ifndef TAMARACK_RELAY_RATELIMITS_H
 #define TAMARACK_RELAY_RATELIMITS_H
 
@@ -60,6 +63,9 @@
   /// endpoint at the same time.
   explicit RateLimits(std::uint64_t Seed) : Seed(Seed) {}
 
+  /// How long a limit holds without another response or a report.
+  static constexpr Duration StatementLifetime = std::chrono::seconds(10);
+
   /// Records the limit that a response of \p Endpoint states, in requests per
   /// second; empty if it states none. Returns whether the limit has changed.
   bool onStated(const EndpointId &Endpoint, std::optional<double> PerSecond,
@@ -68,7 +74,8 @@
   void forget(const EndpointId &Endpoint);
   /// Records that a request like \p Query is sent, admitted or not.
   void onSent(const RateQuery &Query, TimePoint Now);
-  /// The limit of \p Endpoint that this or another entry was told.
+  /// The limit of \p Endpoint that this or another entry was told, in requests
+  /// per second, but not less than what it takes to notice its end.
   std::optional<double> limitOf(const EndpointId &Endpoint,
                                 TimePoint Now) const;
   bool admits(const RateQuery &Query, TimePoint Now) const;
@@ -84,6 +91,11 @@
   void setRemoteNews(RatesByEndpoint Next, TimePoint Now);
 
 private:
+  /// What a response of an endpoint stated.
+  struct Statement {
+    double PerSecond = 0;
+    TimePoint At;
+  };
   /// What was sent to one endpoint.
   struct EndpointUse {
     SlidingCount Sent;
@@ -96,11 +108,14 @@
   void startTokens(const EndpointId &Endpoint, TimePoint Now);
 
   bool isRemoteRecent(TimePoint Now) const;
+  /// What the endpoint stated to this entry lately.
+  std::optional<double> statedLimit(const EndpointId &Endpoint,
+                                    TimePoint Now) const;
   /// The tokens for the endpoint, whose limit is \p Limit.
   double tokens(const RateQuery &Query, double Limit, TimePoint Now) const;
 
   const std::uint64_t Seed;
-  std::map<EndpointId, double> Stated;
+  std::map<EndpointId, Statement> Stated;
   std::map<EndpointId, EndpointUse> Uses;
   std::map<ServiceId, SlidingCount> SentInAll;
   RatesByEndpoint Remote;
--- a/packages/relay/src/RateLimits.cpp
+++ b/packages/relay/src/RateLimits.cpp
@@ -7,6 +7,9 @@
 
 /// An entry saves up the tokens of this time, and at least one.
 constexpr double MaxSavedSeconds = 1;
+/// All entries together send at least this often, in requests per second, to an
+/// endpoint with a lower limit. Without responses nobody would notice its end.
+constexpr double MinLimit = 0.25;
 /// The share of an entry that has not heard from any other one yet.
 constexpr double UnknownShare = 0.25;
 
@@ -42,19 +45,22 @@
 
 bool RateLimits::onStated(const EndpointId &Endpoint,
                           std::optional<double> PerSecond, TimePoint Now) {
-  const auto Known = Stated.find(Endpoint);
-  if (!PerSecond) {
-    if (Known == Stated.end())
-      return false;
-    Stated.erase(Known);
+  const std::optional<double> Before = statedLimit(Endpoint, Now);
+  if (PerSecond) {
+    Stated[Endpoint] = {*PerSecond, Now};
+    startTokens(Endpoint, Now);
+  } else if (Stated.erase(Endpoint) > 0) {
     Uses[Endpoint].Tokens.reset();
-    return true;
   }
-  if (Known != Stated.end() && Known->second == *PerSecond)
-    return false;
-  Stated[Endpoint] = *PerSecond;
-  startTokens(Endpoint, Now);
-  return true;
+  return Before != PerSecond;
+}
+
+std::optional<double> RateLimits::statedLimit(const EndpointId &Endpoint,
+                                              TimePoint Now) const {
+  const auto Known = Stated.find(Endpoint);
+  if (Known == Stated.end() || Now - Known->second.At > StatementLifetime)
+    return std::nullopt;
+  return Known->second.PerSecond;
 }
 
 void RateLimits::startTokens(const EndpointId &Endpoint, TimePoint Now) {
@@ -89,12 +95,13 @@
 
 std::optional<double> RateLimits::limitOf(const EndpointId &Endpoint,
                                           TimePoint Now) const {
-  if (const auto Own = Stated.find(Endpoint); Own != Stated.end())
-    return Own->second;
+  std::optional<double> Limit = statedLimit(Endpoint, Now);
   const auto Other = Remote.find(Endpoint);
-  if (Other == Remote.end() || !isRemoteRecent(Now))
-    return std::nullopt;
-  return Other->second.Limit;
+  if (!Limit && Other != Remote.end() && isRemoteRecent(Now))
+    Limit = Other->second.Limit;
+  if (Limit)
+    Limit = std::max(*Limit, MinLimit);
+  return Limit;
 }
 
 double RateLimits::shareOf(const RateQuery &Query, TimePoint Now) const {
@@ -136,8 +143,9 @@
 std::vector<EndpointId> RateLimits::limitedEndpoints(TimePoint Now) const {
   std::vector<EndpointId> Result;
   Result.reserve(Stated.size() + Remote.size());
-  for (const auto &[Endpoint, PerSecond] : Stated)
-    Result.push_back(Endpoint);
+  for (const auto &[Endpoint, Last] : Stated)
+    if (limitOf(Endpoint, Now))
+      Result.push_back(Endpoint);
   for (const auto &[Endpoint, Rate] : Remote)
     if (Stated.count(Endpoint) == 0 && limitOf(Endpoint, Now))
       Result.push_back(Endpoint);
@@ -149,8 +157,7 @@
   EndpointRate Result;
   // Only what the endpoint told this entry itself is passed on, so that a limit
   // that has ended does not live on in the reports.
-  if (const auto Own = Stated.find(Endpoint); Own != Stated.end())
-    Result.Limit = Own->second;
+  Result.Limit = statedLimit(Endpoint, Now);
   if (const auto Use = Uses.find(Endpoint); Use != Uses.end())
     Result.Sent = Use->second.Sent.count(Now);
   if (const auto Sent = SentInAll.find(Service); Sent != SentInAll.end())
