--- a/packages/feed/test/MirrorHistoryTest.cpp
+++ b/packages/feed/test/MirrorHistoryTest.cpp
@@ -40,6 +40,7 @@
   }
   std::vector<StoreItem> listing() const {
     std::vector<StoreItem> Result;
+    Result.reserve(Items.size());
     for (const auto &[Key, Item] : Items)
       Result.push_back(Item);
     return Result;
--- a/packages/relay/test/RateLimitsTest.cpp
+++ b/packages/relay/test/RateLimitsTest.cpp
@@ -198,6 +198,7 @@
       Tables.emplace_back(
           EndpointTableOptions{{}, static_cast<std::uint64_t>(Number)});
     std::vector<EndpointEntry> All;
+    All.reserve(static_cast<std::size_t>(Endpoints));
     for (int Number = 0; Number < Endpoints; ++Number)
       All.push_back({EndpointId(std::to_string(Number)),
                      Llm,
