Pass over the known red cases of a test program in its own ctest entry

Programs now get the exclusion as an argument. Each excluded case is run by its own ctest entry and printed, as before.

--- a/cmake/TamarackPackage.cmake
+++ b/cmake/TamarackPackage.cmake
@@ -33,7 +33,9 @@
   endif()
 endfunction()
 
-# tamarack_test(NAME LIBRARY FILES...): one test program, known to ctest.
+# tamarack_test(NAME LIBRARY FILES...): one test program, known to ctest. Cases
+# of KNOWN-RED.txt, which have a ctest entry of their own, are named in the target
+# property TAMARACK_KNOWN_RED.
 function(tamarack_test Name Library)
   add_executable(${Name}_test ${ARGN} ${CMAKE_SOURCE_DIR}/cmake/TestMain.cpp)
   target_include_directories(${Name}_test PRIVATE test)
@@ -41,7 +43,9 @@
     TAMARACK_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
   target_link_libraries(${Name}_test PRIVATE ${Library}
     Boost::unit_test_framework rapidcheck)
-  add_test(NAME ${Name} COMMAND ${Name}_test --log_level=test_suite)
+  set(KnownRed $<TARGET_PROPERTY:${Name}_test,TAMARACK_KNOWN_RED>)
+  add_test(NAME ${Name} COMMAND ${Name}_test --log_level=test_suite
+    "$<$<BOOL:${KnownRed}>:--run_test=!${KnownRed}>" COMMAND_EXPAND_LISTS)
   # RapidCheck draws the same histories on every run.
   set_tests_properties(${Name} PROPERTIES
     ENVIRONMENT "RC_PARAMS=seed=20261203" TIMEOUT 300)
