--- a/packages/relay/include/tamarack/relay/Relay.h
+++ b/packages/relay/include/tamarack/relay/Relay.h
@@ -25,7 +25,9 @@
 #include "tamarack/relay/EndpointTable.h"
 #include "tamarack/relay/RelayMetrics.h"
 
+#include <functional>
 #include <memory>
+#include <optional>
 
 namespace tamarack {
 
@@ -33,6 +35,9 @@
   EndpointTableOptions Endpoints;
   /// The memory limit of the cache of stored turns.
   std::size_t ChainCacheBytes = 16U << 20U;
+  /// Returns the time since the configuration was last confirmed to be the
+  /// newest; empty if it never was.
+  std::function<std::optional<Duration>()> CatalogAge;
 };
 
 class Relay {
--- a/packages/relay/include/tamarack/relay/RelayMetrics.h
+++ b/packages/relay/include/tamarack/relay/RelayMetrics.h
@@ -43,6 +43,9 @@
   void countBrokenStream();
   void countDisconnectedCaller();
   void observeLedgerLatency(Duration Elapsed);
+  /// Records the age that the local copy of the store reached before it was
+  /// confirmed again.
+  void observeStoreAge(Duration Age);
   /// Sets the tamarack_state gauge with the label \p Name.
   void setGauge(const std::string &Name, double Value);
 
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -156,10 +156,12 @@
 
 Task<void> Relay::Impl::refuseRequest(RequestContext &Context, Error Failure) {
   const ErrorAnswer &Mapping = answerOf(Failure.Kind);
+  const std::optional<Duration> Age = CatalogAge ? CatalogAge() : std::nullopt;
   LogLine("entry.refused")
       .with("request", Context.Metadata.RequestId)
       .with("route", Context.MatchedRoute.Name)
       .with("catalog", ActiveCatalog.Version)
+      .with("catalog_age_ms", Age.value_or(Duration(0)))
       .with("program", Context.Metadata.Program)
       .with("kind", Mapping.Name)
       .with("status", Mapping.HttpStatus)
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -98,7 +98,8 @@
   Impl(Loop &Io, RelayOptions Options, const Dialect &Wire,
        QuorumClient &Ledgers, ConnectionPool &Pool, RelayMetrics &Metrics)
       : Io(Io), Wire(Wire), Ledgers(Ledgers), Pool(Pool), Metrics(Metrics),
-        Endpoints(Options.Endpoints), Chains(Options.ChainCacheBytes) {}
+        Endpoints(Options.Endpoints), Chains(Options.ChainCacheBytes),
+        CatalogAge(std::move(Options.CatalogAge)) {}
 
   Loop &Io;
   const Dialect &Wire;
@@ -108,6 +109,8 @@
   EndpointTable Endpoints;
   ChainCache Chains;
   Catalog ActiveCatalog;
+  /// As RelayOptions::CatalogAge.
+  const std::function<std::optional<Duration>()> CatalogAge;
   bool RejectsNewRequests = false;
 
   // Relay.cpp: routes, deadlines and refusals.
--- a/packages/relay/src/RelayMetrics.cpp
+++ b/packages/relay/src/RelayMetrics.cpp
@@ -15,6 +15,10 @@
 const prometheus::Histogram::BucketBoundaries LatencyBounds = {
     0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2, 4};
 
+/// In seconds; the time within which a change must take effect is some seconds.
+const prometheus::Histogram::BucketBoundaries AgeBounds = {0.5, 1, 1.5, 2, 2.5,
+                                                           3,   4, 5,   7, 10};
+
 double seconds(Duration Span) {
   return std::chrono::duration<double>(Span).count();
 }
@@ -36,15 +40,11 @@
 }
 
 std::vector<std::string> relayMetricNames() {
-  return {"tamarack_answers_total",
-          "tamarack_refusals_total",
-          "tamarack_retries_total",
-          "tamarack_answer_seconds",
-          "tamarack_first_event_seconds",
-          "tamarack_ledger_seconds",
-          "tamarack_streams_broken_total",
-          "tamarack_callers_left_total",
-          "tamarack_state"};
+  return {"tamarack_answers_total",       "tamarack_refusals_total",
+          "tamarack_retries_total",       "tamarack_answer_seconds",
+          "tamarack_first_event_seconds", "tamarack_ledger_seconds",
+          "tamarack_store_age_seconds",   "tamarack_streams_broken_total",
+          "tamarack_callers_left_total",  "tamarack_state"};
 }
 
 struct RelayMetrics::Impl {
@@ -78,6 +78,9 @@
   prometheus::Histogram &LedgerSeconds =
       histogram("tamarack_ledger_seconds",
                 "From a record's sending until the quorum kept it");
+  prometheus::Histogram &StoreAgeSeconds = histogram(
+      "tamarack_store_age_seconds",
+      "Age of the local copy of the store when it was confirmed", AgeBounds);
   prometheus::Counter &BrokenStreams =
       counter("tamarack_streams_broken_total",
               "Streams that ended before their last event");
@@ -85,12 +88,14 @@
       "tamarack_callers_left_total", "Callers that left before their answer");
   std::map<int, prometheus::Counter *> AnswersByStatus;
 
-  prometheus::Histogram &histogram(const char *Name, const char *Help) {
+  prometheus::Histogram &histogram(
+      const char *Name, const char *Help,
+      const prometheus::Histogram::BucketBoundaries &Bounds = LatencyBounds) {
     return prometheus::BuildHistogram()
         .Name(Name)
         .Help(Help)
         .Register(Registry)
-        .Add({}, LatencyBounds);
+        .Add({}, Bounds);
   }
   prometheus::Counter &counter(const char *Name, const char *Help) {
     return prometheus::BuildCounter()
@@ -133,6 +138,10 @@
   Inner->LedgerSeconds.Observe(seconds(Elapsed));
 }
 
+void RelayMetrics::observeStoreAge(Duration Age) {
+  Inner->StoreAgeSeconds.Observe(seconds(Age));
+}
+
 void RelayMetrics::setGauge(const std::string &Name, double Value) {
   Inner->Gauges.Add({{"name", Name}}).Set(Value);
 }
