Ask the store by the age of the copy, whatever silent ledgers cost

What callers saw: 404 for a route that the store had acknowledged more than config_apply_ms (2.5 s) before, while the ledgers answered nothing.

Cause: a round of the mirror asked each source in turn, 400 ms for each silent one, before it looked at whether the store must be asked, and paused after that. Each part was within the bound; their sum, 1.2 s for three sources and 0.5 s on top of the 1.9 s after which the store is to be asked, was not, and began anew after each answer of the store. The same sum stood behind the endpoint list (DRAIN) and the views.

Now FeedFollower decides the next step.

MirrorHistoryTest now takes its steps from the same code as the mirror in place of a copy of its loop.

--- a/packages/feed/test/MirrorHistoryTest.cpp
+++ b/packages/feed/test/MirrorHistoryTest.cpp
@@ -60,7 +60,6 @@
   FeedFollower Follower{FeedLimits()};
   bool ReachesStore = true;
   bool ReachesSources = true;
-  TimePoint AskedStoreAt;
 };
 
 struct World {
@@ -91,50 +90,46 @@
     }
   }
 
-  /// Does what a process does between two pauses. The first processes are the
+  /// Does what a process does until it waits. The first processes are the
   /// sources and watch the store each second.
   void step(int Number) {
     Process &Self = All[static_cast<std::size_t>(Number)];
-    const bool IsSource = Number < Sources;
-    bool Followed = false;
-    if (!IsSource) {
+    if (Number >= Sources)
       Self.Follower.setSources({"0", "1", "2"});
-      Followed = follow(Self);
+    while (true) {
+      const FeedStep Step =
+          Self.Follower.nextStep(Now, Self.State.removalsDueAt());
+      if (Step.Next == FeedStep::Action::Wait)
+        return;
+      if (Step.Next == FeedStep::Action::AskStore)
+        askStore(Self);
+      else
+        askSource(Self, Step.Source);
     }
-    const bool IsDue =
-        Self.State.removalsDueAt().value_or(TimePoint::max()) <= Now;
-    const bool Asks =
-        IsSource ? IsDue || Now - Self.AskedStoreAt >= Duration(1s)
-                 : !Followed && (IsDue || Self.Follower.needsStore(Now));
-    if (Asks)
-      askStore(Self);
   }
 
-  bool follow(Process &Self) {
-    for (const std::string &Source : Self.Follower.sources()) {
-      Process &From = All[static_cast<std::size_t>(std::stoi(Source))];
-      if (!Self.ReachesSources || !From.ReachesSources)
-        continue;
-      FeedPage Page =
-          From.State.pageAfter(Self.Follower.positionAt(Source), Now);
-      if (From.Follower.confirmedAt())
-        Page.Age = Now - *From.Follower.confirmedAt();
-      if (!Self.Follower.accept(Source, Page, Self.State.appliedRevision(), Now,
-                                Now)) {
-        Self.State.onSourceOutage(Now - Page.SinceOutage);
-        continue;
-      }
-      Self.State.onAnswer(Now);
-      Self.State.applyPage(Page, Now);
-      return true;
+  void askSource(Process &Self, const std::string &Source) {
+    Process &From = All[static_cast<std::size_t>(std::stoi(Source))];
+    if (!Self.ReachesSources || !From.ReachesSources) {
+      Self.Follower.onSilent(Source, Now);
+      return;
     }
-    return false;
+    FeedPage Page = From.State.pageAfter(Self.Follower.positionAt(Source), Now);
+    if (From.Follower.confirmedAt())
+      Page.Age = Now - *From.Follower.confirmedAt();
+    if (!Self.Follower.accept(Source, Page, Self.State.appliedRevision(), Now,
+                              Now)) {
+      Self.State.onSourceOutage(Now - Page.SinceOutage);
+      return;
+    }
+    Self.State.onAnswer(Now);
+    Self.State.applyPage(Page, Now);
   }
 
   void askStore(Process &Self) {
-    Self.AskedStoreAt = Now;
     if (Store.IsDown || !Self.ReachesStore) {
       Self.State.onStoreFailure(Now);
+      Self.Follower.onStoreFailed(Now);
       return;
     }
     Self.State.onAnswer(Now);
@@ -148,7 +143,7 @@
           Changes.push_back(Change);
       Self.State.applyChanges(Changes, Store.Current, Now);
     }
-    Self.Follower.onStoreConfirmed(Now);
+    Self.Follower.onStoreConfirmed(Now, Now);
     Self.State.applyDelayedRemovals(Now);
   }
 
