Refuse for want of a route only on a configuration that is current

What callers saw: a final 404 that rested on a configuration of any age.

Now such a request asks for one look at the store, shared by all of them and bounded to 0.4 s. If the configuration is confirmed, it is matched again and served or refused with 404; otherwise the answer is 503 (platform_unavailable, not run, Retry-After 50 ms, connection closed, so that the next try reaches another entry). While the configuration is current nothing is asked, and after a failed question the store is left alone for a poll interval, so a flood of unknown hosts costs one call.

--- a/packages/feed/include/tamarack/feed/FeedFollower.h
+++ b/packages/feed/include/tamarack/feed/FeedFollower.h
@@ -98,6 +98,9 @@
   /// longer that of the source, which tells only what changed there.
   void onStoreConfirmed(TimePoint AskedAt, TimePoint Now);
   void onStoreFailed(TimePoint Now);
+  /// Makes the store due at once, whatever the age of the items. Returns false
+  /// if it has just failed to answer, so that it is not asked yet.
+  bool requestStore(TimePoint Now);
 
   /// When the store last confirmed the state known here, directly or through a
   /// source.
@@ -119,6 +122,7 @@
   std::optional<TimePoint> ConfirmedAt;
   /// The store is not asked before.
   TimePoint StorePausedUntil;
+  bool IsStoreRequested = false;
   /// When the next round begins, and which sources were asked in this one.
   TimePoint NextRoundAt;
   std::set<std::string> AskedInRound;
--- a/packages/feed/src/FeedFollower.cpp
+++ b/packages/feed/src/FeedFollower.cpp
@@ -69,7 +69,7 @@
 }
 
 TimePoint FeedFollower::storeDueAt() const {
-  if (!ConfirmedAt || Addresses.empty())
+  if (!ConfirmedAt || Addresses.empty() || IsStoreRequested)
     return StorePausedUntil;
   return std::max(*ConfirmedAt + Limits.MaxAge, StorePausedUntil);
 }
@@ -139,12 +139,21 @@
 void FeedFollower::onStoreConfirmed(TimePoint AskedAt, TimePoint Now) {
   Position = {};
   ConfirmedAt = std::max(AskedAt, ConfirmedAt.value_or(AskedAt));
+  IsStoreRequested = false;
   StorePausedUntil = Addresses.empty() ? Now + Limits.StorePause : Now;
 }
 
 void FeedFollower::onStoreFailed(TimePoint Now) {
+  IsStoreRequested = false;
   StorePausedUntil = Now + (Addresses.empty() ? Limits.StoreRetryInterval
                                               : Limits.PollInterval);
 }
 
+bool FeedFollower::requestStore(TimePoint Now) {
+  if (StorePausedUntil > Now)
+    return false;
+  IsStoreRequested = true;
+  return true;
+}
+
 } // namespace tamarack
--- a/packages/relay/include/tamarack/relay/Relay.h
+++ b/packages/relay/include/tamarack/relay/Relay.h
@@ -31,13 +31,23 @@
 
 namespace tamarack {
 
+/// How current the configuration is.
+struct CatalogSource {
+  /// Returns the time since the configuration was last confirmed to be the
+  /// newest; empty if it never was. It counts as current if this is not set.
+  std::function<std::optional<Duration>()> Age;
+  /// The time within which a new configuration must take effect.
+  Duration MaxAge = std::chrono::milliseconds(2500);
+  /// Tries to confirm the configuration, or to get the newest one, until the
+  /// deadline. May be called any number of times at once.
+  std::function<Task<void>(TimePoint Deadline)> Confirm;
+};
+
 struct RelayOptions {
   EndpointTableOptions Endpoints;
   /// The memory limit of the cache of stored turns.
   std::size_t ChainCacheBytes = 16U << 20U;
-  /// Returns the time since the configuration was last confirmed to be the
-  /// newest; empty if it never was.
-  std::function<std::optional<Duration>()> CatalogAge;
+  CatalogSource Configuration;
 };
 
 class Relay {
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -18,6 +18,10 @@
 /// probably have: a new connection leads to one of them.
 constexpr Duration RetryAfterElsewhere = std::chrono::milliseconds(50);
 
+/// How long a request without a route waits until the configuration is
+/// confirmed. The store answers within 50 ms, or 300 ms while it is slow.
+constexpr Duration CatalogConfirmTimeout = std::chrono::milliseconds(400);
+
 /// The longest that a caller is told to wait, since limits may end any time.
 constexpr Duration MaxRetryAfter = std::chrono::seconds(2);
 
@@ -35,6 +39,10 @@
                     RetryAfterFull, MaxRetryAfter);
 }
 
+std::string formatMillis(std::optional<Duration> Span) {
+  return Span ? std::to_string(*Span / std::chrono::milliseconds(1)) : "none";
+}
+
 /// Formats \p Span in seconds with three decimals.
 std::string formatSeconds(Duration Span) {
   const auto Millis =
@@ -125,9 +133,35 @@
   return std::nullopt;
 }
 
+std::optional<Duration> Relay::Impl::catalogAge() const {
+  return Configuration.Age ? Configuration.Age() : Duration(0);
+}
+
+Task<std::optional<Error>>
+Relay::Impl::prepareConfirmed(RequestContext &Context) {
+  const auto LacksCurrentRoute = [this](const std::optional<Error> &Failure) {
+    const std::optional<Duration> Age = catalogAge();
+    return Failure && Failure->Kind == ErrorKind::UnknownService &&
+           (!Age || *Age > Configuration.MaxAge);
+  };
+  std::optional<Error> Failure = prepare(Context);
+  if (!LacksCurrentRoute(Failure))
+    co_return Failure;
+  const TimePoint Deadline = steadyNow() + CatalogConfirmTimeout;
+  co_await Configuration.Confirm(Deadline);
+  Failure = prepare(Context);
+  if (LacksCurrentRoute(Failure))
+    Failure = Error{ErrorKind::PlatformUnavailable,
+                    "the configuration may be outdated and has no such route",
+                    NotRun::Proved,
+                    {}};
+  co_return Failure;
+}
+
 Task<void> Relay::Impl::serve(HttpExchange &Caller) {
   const auto Context = std::make_shared<RequestContext>(Caller);
-  if (std::optional<Error> Failure = prepare(*Context)) {
+  std::optional<Error> Failure = co_await prepareConfirmed(*Context);
+  if (Failure) {
     co_await refuseRequest(*Context, std::move(*Failure));
     co_return;
   }
@@ -156,12 +190,11 @@
 
 Task<void> Relay::Impl::refuseRequest(RequestContext &Context, Error Failure) {
   const ErrorAnswer &Mapping = answerOf(Failure.Kind);
-  const std::optional<Duration> Age = CatalogAge ? CatalogAge() : std::nullopt;
   LogLine("entry.refused")
       .with("request", Context.Metadata.RequestId)
       .with("route", Context.MatchedRoute.Name)
       .with("catalog", ActiveCatalog.Version)
-      .with("catalog_age_ms", Age.value_or(Duration(0)))
+      .with("catalog_age_ms", formatMillis(catalogAge()))
       .with("program", Context.Metadata.Program)
       .with("kind", Mapping.Name)
       .with("status", Mapping.HttpStatus)
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -99,7 +99,7 @@
        QuorumClient &Ledgers, ConnectionPool &Pool, RelayMetrics &Metrics)
       : Io(Io), Wire(Wire), Ledgers(Ledgers), Pool(Pool), Metrics(Metrics),
         Endpoints(Options.Endpoints), Chains(Options.ChainCacheBytes),
-        CatalogAge(std::move(Options.CatalogAge)) {}
+        Configuration(std::move(Options.Configuration)) {}
 
   Loop &Io;
   const Dialect &Wire;
@@ -109,8 +109,7 @@
   EndpointTable Endpoints;
   ChainCache Chains;
   Catalog ActiveCatalog;
-  /// As RelayOptions::CatalogAge.
-  const std::function<std::optional<Duration>()> CatalogAge;
+  const CatalogSource Configuration;
   bool RejectsNewRequests = false;
 
   // Relay.cpp: routes, deadlines and refusals.
@@ -118,6 +117,12 @@
   /// Decodes the request and sets its route, service and deadline. Returns why
   /// the request is refused, if it is.
   std::optional<Error> prepare(internal::RequestContext &Context);
+  /// Does the same, but does not refuse a request for want of a route before
+  /// the configuration is confirmed to be current.
+  Task<std::optional<Error>>
+  prepareConfirmed(internal::RequestContext &Context);
+  /// The time since the configuration was confirmed; empty if it never was.
+  std::optional<Duration> catalogAge() const;
   Task<void> refuseRequest(internal::RequestContext &Context, Error Failure);
   Task<void> servePlain(internal::RequestContext &Context);
   /// Sends the complete response of an endpoint to the caller.
--- a/packages/relay/test/RelayFixture.h
+++ b/packages/relay/test/RelayFixture.h
@@ -214,7 +214,6 @@
     for (int Number = 0; Number < 2; ++Number)
       Endpoints.push_back(
           std::make_unique<ScriptedEndpoint>(Io, FirstEndpointPort + Number));
-    Catalog Routes;
     Routes.Version = 1;
     Routes.Routes = {route("/safe/", RequestKind::Idempotent, 2),
                      route("/once/", RequestKind::AtMostOnce, 2),
@@ -330,13 +329,30 @@
     return State ? committedTokens(State->Charges) : TokenCount(-1);
   }
 
+  RelayOptions options() {
+    RelayOptions Result;
+    Result.Configuration = {[this] { return CatalogAge; }, 2500ms,
+                            [this](TimePoint) -> Task<void> {
+                              ++CatalogConfirmations;
+                              if (OnConfirmCatalog)
+                                OnConfirmCatalog();
+                              co_return;
+                            }};
+    return Result;
+  }
+
+  /// How old the configuration is; empty if it was never confirmed.
+  std::optional<Duration> CatalogAge = Duration(0);
+  std::function<void()> OnConfirmCatalog;
+  int CatalogConfirmations = 0;
   TestDialect Wire;
   ConnectionPool Pool{Io, {}};
   ConnectionPool CallerPool{Io, {}};
   RelayMetrics Metrics;
+  Catalog Routes;
   std::vector<std::unique_ptr<ScriptedEndpoint>> Endpoints;
   std::vector<std::unique_ptr<Tcp::acceptor>> SilentPeers;
-  Relay RequestRelay{Io, {}, Wire, Client, Pool, Metrics};
+  Relay RequestRelay{Io, options(), Wire, Client, Pool, Metrics};
   HttpServer Server{
       Io, {}, [this](HttpExchange &Call) { return RequestRelay.serve(Call); }};
 };
--- a/packages/relay/test/RelayTest.cpp
+++ b/packages/relay/test/RelayTest.cpp
@@ -297,6 +297,54 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against a 404 that rests on a configuration of unknown age, such as
+/// after the process was suspended or while the store is away.
+BOOST_AUTO_TEST_SUITE(WithoutARouteInAnOldConfiguration)
+
+BOOST_AUTO_TEST_CASE(AreServedIfTheNewestOneHasTheRoute) {
+  setResponses({{signedResponse("hello")}});
+  CatalogAge = 3s;
+  OnConfirmCatalog = [this] {
+    CatalogAge = Duration(0);
+    Catalog Next = Routes;
+    Next.Version = 2;
+    Next.Routes.push_back(route("/new/", RequestKind::Idempotent, 1));
+    RequestRelay.setCatalog(std::move(Next));
+  };
+  BOOST_TEST(sendRequest("/new/x", {{"Id", "1"}}).Body == "hello");
+}
+
+BOOST_AUTO_TEST_CASE(AreRefusedIfTheNewestOneLacksTheRoute) {
+  CatalogAge = 3s;
+  OnConfirmCatalog = [this] { CatalogAge = Duration(0); };
+  BOOST_TEST(sendRequest("/none/x", {{"Id", "1"}}).Head.Status == 404);
+}
+
+BOOST_AUTO_TEST_CASE(AreToldToComeBackIfItCannotBeConfirmed) {
+  for (const auto Age : {std::optional<Duration>(3s), {}}) {
+    CatalogAge = Age;
+    const HttpResponse Response = sendRequest("/none/x", {{"Id", "1"}});
+    BOOST_TEST(Response.Head.Status == 503);
+    BOOST_TEST(Response.Head.Fields.has("Retry-After"));
+  }
+  BOOST_TEST(CatalogConfirmations == 2);
+}
+
+BOOST_AUTO_TEST_CASE(DoNotHoldUpThoseThatHaveOne) {
+  setResponses({{signedResponse("hello")}});
+  CatalogAge = 3s;
+  BOOST_TEST(sendRequest("/safe/x", {{"Id", "1"}}).Body == "hello");
+  BOOST_TEST(CatalogConfirmations == 0);
+}
+
+BOOST_AUTO_TEST_CASE(CostNothingWhileItIsCurrent) {
+  for (int Number = 0; Number < 20; ++Number)
+    BOOST_TEST(sendRequest("/none/x", {{"Id", "1"}}).Head.Status == 404);
+  BOOST_TEST(CatalogConfirmations == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(AbortTheCallWhenTheCallerDisconnects) {
   setResponses({{""}}); // Accepts the request and sends no response.
   {
