--- a/packages/base/include/tamarack/base/Clock.h
+++ b/packages/base/include/tamarack/base/Clock.h
@@ -31,6 +31,14 @@
   std::chrono::system_clock::time_point calendarNow() const override;
 };
 
+/// A clock whose time also counts while the machine is suspended, unlike that
+/// of SystemClock and of timers. For the age of what other machines have told.
+class SuspendAwareClock : public Clock {
+public:
+  TimePoint now() const override;
+  std::chrono::system_clock::time_point calendarNow() const override;
+};
+
 /// A clock that changes only when it is advanced. Thread-safe.
 class ManualClock : public Clock {
 public:
--- a/packages/base/src/Clock.cpp
+++ b/packages/base/src/Clock.cpp
@@ -1,5 +1,7 @@
 #include "tamarack/base/Clock.h"
 
+#include <ctime>
+
 namespace tamarack {
 
 TimePoint SystemClock::now() const {
@@ -11,6 +13,19 @@
   return std::chrono::system_clock::now();
 }
 
+TimePoint SuspendAwareClock::now() const {
+  timespec Time{};
+  // Cannot fail: the clock exists since Linux 2.6.39.
+  ::clock_gettime(CLOCK_BOOTTIME, &Time);
+  return TimePoint(std::chrono::seconds(Time.tv_sec) +
+                   std::chrono::duration_cast<Duration>(
+                       std::chrono::nanoseconds(Time.tv_nsec)));
+}
+
+std::chrono::system_clock::time_point SuspendAwareClock::calendarNow() const {
+  return std::chrono::system_clock::now();
+}
+
 TimePoint ManualClock::now() const {
   std::lock_guard<std::mutex> Lock(Mutex);
   return Current;
