Show that a request which crashes endpoints reaches all of them, red

A request that comes again with the same path and body and crashes each endpoint that runs it reaches six endpoints in six tries, as a turn and as a plain request, where it should reach three.

--- a/packages/relay/test/RelayFixture.h
+++ b/packages/relay/test/RelayFixture.h
@@ -68,6 +68,9 @@
   /// Sent again and again after Bytes until the entry closes the connection;
   /// nothing if empty.
   std::string Endless = {};
+  /// Whether the endpoint crashes afterwards: it closes the connection and its
+  /// port.
+  bool Crash = false;
 };
 
 /// A complete response that is signed and names the request.
@@ -107,14 +110,16 @@
 /// An endpoint that sends scripted responses in order and repeats the last one.
 class ScriptedEndpoint {
 public:
-  ScriptedEndpoint(Loop &Io, int Port) : Io(Io) {
-    Listener = *listenOn(Io, "127.0.0.1:" + std::to_string(Port));
-    spawn(Io, acceptConnections(*this));
-  }
-  ~ScriptedEndpoint() {
-    ErrorCode Ignored; // The acceptor is closed even if this fails.
-    Listener->close(Ignored);
+  ScriptedEndpoint(Loop &Io, int Port) : Io(Io), Port(Port) { start(); }
+  ~ScriptedEndpoint() { closePort(); }
+
+  /// Opens the port, also after a crash.
+  void start() {
+    Listener = std::make_shared<Tcp::acceptor>(
+        *listenOn(Io, "127.0.0.1:" + std::to_string(Port)));
+    spawn(Io, acceptConnections(*this, Listener));
   }
+  bool isCrashed() const { return !Listener->is_open(); }
 
   std::deque<ScriptedResponse> Responses;
   /// The raw bytes of each request.
@@ -125,11 +130,17 @@
   std::size_t EndlessBytesSent = 0;
 
 private:
-  static Task<void> acceptConnections(ScriptedEndpoint &Self) {
+  void closePort() {
+    ErrorCode Ignored; // The acceptor is closed even if this fails.
+    Listener->close(Ignored);
+  }
+
+  static Task<void> acceptConnections(ScriptedEndpoint &Self,
+                                      std::shared_ptr<Tcp::acceptor> Listener) {
     std::function<void(Tcp::socket)> OnAccept = [&Self](Tcp::socket Socket) {
       spawn(Self.Io, serveConnection(Self, std::move(Socket)));
     };
-    co_await acceptLoop(*Self.Listener, std::move(OnAccept));
+    co_await acceptLoop(*Listener, std::move(OnAccept));
   }
 
   /// The length of the first request in \p Text; zero if its head is
@@ -184,7 +195,9 @@
       if (!Next.Endless.empty()) {
         co_await sendWithoutEnd(Self, Socket, Next.Endless);
       }
-      if (Next.CloseAfter || !Next.Endless.empty())
+      if (Next.Crash)
+        Self.closePort();
+      if (Next.CloseAfter || Next.Crash || !Next.Endless.empty())
         co_return;
     }
   }
@@ -201,7 +214,8 @@
   }
 
   Loop &Io;
-  std::optional<Tcp::acceptor> Listener;
+  const int Port;
+  std::shared_ptr<Tcp::acceptor> Listener;
 };
 
 constexpr int EntryPort = 19790;
--- a/packages/relay/test/RelayTest.cpp
+++ b/packages/relay/test/RelayTest.cpp
@@ -521,3 +521,30 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(RelayCrashes, RelayFixture)
+
+/// Guards against a request that comes again and again and crashes each
+/// endpoint that runs it, with all that runs there beside it.
+BOOST_AUTO_TEST_CASE(ARequestReachesNoEndpointAfterItHasCrashedThree) {
+  for (const char *Target : {"/turn/x", "/once/x"}) {
+    for (auto &Endpoint : Endpoints)
+      Endpoint->Requests.clear();
+    const bool IsTurn = std::string_view(Target) == "/turn/x";
+    setResponses({{IsTurn ? signedStreamHead() : "", false, {}, {}, true}});
+    for (int Try = 0; Try < 6; ++Try) {
+      sendRequest(Target,
+                  {{"Id", Target + std::to_string(Try)},
+                   {"Program", "p" + std::to_string(Try)},
+                   {"Budget", "1000"},
+                   {"Most", "100"}},
+                  "deadly");
+      for (auto &Endpoint : Endpoints)
+        if (Endpoint->isCrashed())
+          Endpoint->start();
+    }
+    BOOST_TEST(requestCount() == 3U, Target);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
