Refuse a request after three endpoints crashed under it

Cause: nothing remembered under which request an endpoint had ended. Each try has an id of its own and was sent on, by each entry anew. The class: a retry limit that is kept for each attempt and not for what is attempted.

Now entries keep crash records by what the caller sent (method, host, path and body, hashed). A crash counts if the endpoint ended the connection before a complete answer, its port is closed, and it was listed as ready and had not announced its shutdown; a lost connection, a silent machine and a planned stop do not. After one crash a request is suspect and is kept apart from other suspects, after three it is refused: crashes_endpoints, status 500, no Retry-After. A complete answer clears a request, and a crash at which a refused one was running counts against no other.

Requests of one path are thus refused together for a minute if three endpoints crashed under them and none of that path was ever answered.

--- a/packages/base/include/tamarack/base/Error.h
+++ b/packages/base/include/tamarack/base/Error.h
@@ -39,6 +39,7 @@
   EndpointUnavailable,
   EndpointFailed,
   OutcomeUnknown,
+  CrashesEndpoints,
   Leaving,
   Fenced,
   RevisionConflict,
--- a/packages/base/src/Error.cpp
+++ b/packages/base/src/Error.cpp
@@ -29,6 +29,7 @@
     {ErrorKind::EndpointUnavailable, "endpoint_unavailable", 503, seconds(2)},
     {ErrorKind::EndpointFailed, "endpoint_failed", 502, seconds(0)},
     {ErrorKind::OutcomeUnknown, "outcome_unknown", 502, seconds(0)},
+    {ErrorKind::CrashesEndpoints, "crashes_endpoints", 500, seconds(0)},
     {ErrorKind::Leaving, "leaving", 503, seconds(1)},
     {ErrorKind::Fenced, "fenced", 503, seconds(1)},
     {ErrorKind::RevisionConflict, "revision_conflict", 409, seconds(0)},
--- a/packages/net/include/tamarack/net/HttpCall.h
+++ b/packages/net/include/tamarack/net/HttpCall.h
@@ -111,6 +111,9 @@
 
   /// Whether the connection has already carried an earlier request.
   bool reused() const;
+  /// Whether a read failed because the server ended the connection, as opposed
+  /// to bytes that are no response or to abort().
+  bool isEndedByServer() const;
 
 private:
   struct Impl;
--- a/packages/net/include/tamarack/net/Loop.h
+++ b/packages/net/include/tamarack/net/Loop.h
@@ -81,6 +81,18 @@
 Task<Expected<Tcp::socket>> connectWithTimeout(Loop &Io, Tcp::endpoint Peer,
                                                Duration Timeout);
 
+/// What answers at a port.
+enum class PortState {
+  Open,
+  /// The machine refuses connections: no process listens.
+  Closed,
+  /// Nothing answered, so the process may run behind a partition.
+  Silent,
+};
+
+/// Opens a connection and closes it again.
+Task<PortState> probePort(Loop &Io, Tcp::endpoint Peer, Duration Timeout);
+
 /// Passes each connection that \p Listener accepts to \p Accepted, until the
 /// listener is closed.
 Task<void> acceptLoop(Tcp::acceptor &Listener,
--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -117,6 +117,7 @@
   bool Written = false;
   bool Aborted = false;
   bool Failed = false;
+  bool EndedByServer = false;
   Duration IdleTimeout{0};
 
   Task<void> write() {
@@ -129,6 +130,14 @@
     Writing = {};
   }
 
+  void noteReadFailure(const ErrorCode &Failure) {
+    Failed = true;
+    EndedByServer = !Aborted && (Failure == http::error::end_of_stream ||
+                                 Failure == http::error::partial_message ||
+                                 Failure == asio::error::eof ||
+                                 Failure == asio::error::connection_reset);
+  }
+
   void abort() {
     Aborted = true;
     ErrorCode Ignored; // The socket is closed even on error.
@@ -171,7 +180,7 @@
                                    Self->Connection->Buffer, *Self->Reader,
                                    storeErrorIn(Failure));
   if (Failure) {
-    Self->Failed = true;
+    Self->noteReadFailure(Failure);
     co_return endpointFailure(Failure);
   }
   const auto &Message = Self->Reader->get();
@@ -195,7 +204,7 @@
                                    Self->Connection->Buffer, *Self->Reader,
                                    storeErrorIn(Failure));
     if (Failure) {
-      Self->Failed = true;
+      Self->noteReadFailure(Failure);
       co_return endpointFailure(Failure);
     }
   }
@@ -246,6 +255,8 @@
   Inner->Pool.release(std::move(Connection));
 }
 
+bool HttpCall::isEndedByServer() const { return Inner->EndedByServer; }
+
 bool HttpCall::reused() const {
   return Inner->Connection && Inner->Connection->CompletedExchanges > 0;
 }
--- a/packages/net/src/Loop.cpp
+++ b/packages/net/src/Loop.cpp
@@ -74,25 +74,52 @@
   Set(TCP_KEEPCNT, MaxLostProbes);
 }
 
-Task<Expected<Tcp::socket>> connectWithTimeout(Loop &Io, Tcp::endpoint Peer,
-                                               Duration Timeout) {
+namespace {
+
+/// The socket is open if the connection was; the error is
+/// asio::error::timed_out after \p Timeout.
+struct ConnectResult {
+  std::shared_ptr<Tcp::socket> Socket;
+  ErrorCode Failure;
+};
+
+Task<ConnectResult> connectOnce(Loop &Io, Tcp::endpoint Peer,
+                                Duration Timeout) {
   // Shared, because the timer's handler may still be queued on return.
-  const auto Socket = std::make_shared<Tcp::socket>(Io);
+  ConnectResult Result{std::make_shared<Tcp::socket>(Io), {}};
   asio::steady_timer Timer(Io, Timeout);
-  Timer.async_wait([Socket](const ErrorCode &Cancelled) {
+  Timer.async_wait([Socket = Result.Socket](const ErrorCode &Cancelled) {
     ErrorCode Ignored; // Closing the socket makes the pending connect fail.
     if (!Cancelled)
       Socket->close(Ignored);
   });
-  ErrorCode Failure;
-  co_await Socket->async_connect(Peer, storeErrorIn(Failure));
-  const bool Late = Timer.cancel() == 0;
-  if (Late || Failure)
+  co_await Result.Socket->async_connect(Peer, storeErrorIn(Result.Failure));
+  if (Timer.cancel() == 0)
+    Result.Failure = asio::error::timed_out;
+  co_return Result;
+}
+
+} // namespace
+
+Task<Expected<Tcp::socket>> connectWithTimeout(Loop &Io, Tcp::endpoint Peer,
+                                               Duration Timeout) {
+  ConnectResult Result = co_await connectOnce(Io, Peer, Timeout);
+  if (Result.Failure)
     co_return refuse(ErrorKind::LinkLost,
-                     Late ? std::string("connection attempt timed out")
-                          : "cannot connect: " + Failure.message(),
+                     Result.Failure == asio::error::timed_out
+                         ? std::string("connection attempt timed out")
+                         : "cannot connect: " + Result.Failure.message(),
                      NotRun::Proved);
-  co_return std::move(*Socket);
+  co_return std::move(*Result.Socket);
+}
+
+Task<PortState> probePort(Loop &Io, Tcp::endpoint Peer, Duration Timeout) {
+  const ConnectResult Result = co_await connectOnce(Io, Peer, Timeout);
+  if (!Result.Failure)
+    co_return PortState::Open;
+  co_return Result.Failure == asio::error::connection_refused
+      ? PortState::Closed
+      : PortState::Silent;
 }
 
 Task<void> acceptLoop(Tcp::acceptor &Listener,
--- a/packages/quorum/src/LedgerCalls.cpp
+++ b/packages/quorum/src/LedgerCalls.cpp
@@ -42,6 +42,10 @@
     handleFetchTurns(Body, Answer);
   } else if (Name == calls::Ping) {
     Answer(Json(PingResponse{Log->folderId(), CurrentView.Number}));
+  } else if (Name == calls::Crashes) {
+    const auto Request = Body.get<CrashRequest>();
+    Crashes.merge(Request.Observed, steadyNow());
+    Answer(Json(Crashes.newsAfter(Request.After, steadyNow())));
   } else if (Name == calls::Adopt) {
     const View Next = Body.get<View>();
     adopt(Next, [this, Next, Answer](const Expected<FrameLocation> &Done) {
@@ -141,6 +145,8 @@
       const EndpointNews &News = It->second.Report.News;
       for (const auto &[Endpoint, Count] : News.InFlight)
         Result.InFlight[Endpoint] += Count;
+      for (const auto &[Endpoint, Count] : News.Suspects)
+        Result.Suspects[Endpoint] += Count;
       for (const auto &[Endpoint, Counts] : News.Outcomes)
         Result.Outcomes[Endpoint] = Result.Outcomes[Endpoint] + Counts;
       for (const auto &[Endpoint, Rate] : News.Rates)
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -39,7 +39,7 @@
         Store([this](const FrameLocation &Location) {
           return readRecord(Location);
         }),
-        ViewChanged(Io) {}
+        ViewChanged(Io), Crashes({}, this->Options.FreshFolder.text()) {}
 
   Loop &Io;
   const LedgerOptions Options;
@@ -55,6 +55,8 @@
   std::unique_ptr<LinkServer> Server;
   std::map<std::string, std::shared_ptr<LinkClient>> Links;
   Signal ViewChanged;
+  /// What entries have told of requests that crash endpoints.
+  CrashRecords Crashes;
   struct ReceivedLoadReport {
     EndpointLoadReport Report;
     TimePoint ReceivedAt;
--- a/packages/relay/include/tamarack/relay/EndpointTable.h
+++ b/packages/relay/include/tamarack/relay/EndpointTable.h
@@ -39,6 +39,8 @@
   EndpointId LastEndpoint;
   /// Endpoints that the request was already sent to.
   std::set<EndpointId> Exclude;
+  /// Whether an endpoint crashed under the request before.
+  bool IsSuspect = false;
 };
 
 struct EndpointTableOptions {
@@ -70,6 +72,9 @@
                         const std::vector<PromptPart> &Prompt = {},
                         TokenCount MemoryTokens = 0);
   void onRequestEnded(const EndpointId &Endpoint);
+  /// Counts a request in flight as one under which an endpoint crashed before.
+  void onSuspectStarted(const EndpointId &Endpoint);
+  void onSuspectEnded(const EndpointId &Endpoint);
   /// Resets the back-off after a valid response.
   void onSuccess(const EndpointId &Endpoint, TimePoint Now);
   /// Backs off exponentially after a failed connection or an invalid or
@@ -103,6 +108,9 @@
   void setRemoteNews(EndpointNews Next, TimePoint Now);
 
   std::size_t size() const { return Statuses.size(); }
+  /// Whether the process of \p Entry is still listed, as ready and not as
+  /// leaving, so that its end is not planned.
+  bool isServing(const EndpointEntry &Entry) const;
   /// The requests that this entry runs at \p Endpoint.
   std::uint32_t runningAt(const EndpointId &Endpoint) const;
 
@@ -110,6 +118,7 @@
   struct EndpointStatus {
     EndpointEntry Entry;
     std::uint32_t Running = 0;
+    std::uint32_t Suspects = 0;
     /// Consecutive failures.
     std::uint32_t Failures = 0;
     TimePoint BackoffUntil;
@@ -126,7 +135,14 @@
 
   bool isLeaving(const EndpointEntry &Entry) const;
   void forgetOldLeaving(TimePoint Now);
-  std::uint32_t remoteRunning(const EndpointId &Endpoint, TimePoint Now) const;
+  /// Returns what other entries reported for \p Endpoint in \p Counts, which is
+  /// part of their news.
+  std::uint32_t remoteCount(const InFlightByEndpoint &Counts,
+                            const EndpointId &Endpoint, TimePoint Now) const;
+  /// Keeps requests under which endpoints crashed apart from each other, and
+  /// others from them where that costs little.
+  double suspectCostMs(const EndpointStatus &Candidate,
+                       const EndpointQuery &Query, TimePoint Now) const;
   /// Whether the recent outcomes at all entries speak against the endpoint.
   bool isOutlierAt(const EndpointStatus &Candidate, TimePoint Now) const;
   /// As EndpointTableOptions::Distance.
--- a/packages/relay/include/tamarack/relay/Relay.h
+++ b/packages/relay/include/tamarack/relay/Relay.h
@@ -48,6 +48,12 @@
   /// The memory limit of the cache of stored turns.
   std::size_t ChainCacheBytes = 16U << 20U;
   CatalogSource Configuration;
+  /// Identifies this start of the process among all processes.
+  std::string ProcessId;
+  CrashLimits Crashes;
+  /// The time between two exchanges with a ledger of the requests under which
+  /// endpoints crashed.
+  Duration CrashExchangeInterval = std::chrono::seconds(1);
 };
 
 class Relay {
@@ -76,6 +82,9 @@
 
   /// Handles one request until its answer is sent.
   Task<void> serve(HttpExchange &Call);
+  /// Exchanges the requests under which endpoints crashed with the ledgers, for
+  /// as long as the process runs.
+  Task<void> exchangeCrashes();
 
 private:
   struct Impl;
--- a/packages/relay/include/tamarack/relay/RelayMetrics.h
+++ b/packages/relay/include/tamarack/relay/RelayMetrics.h
@@ -42,6 +42,7 @@
   void observeFirstEvent(Duration Elapsed);
   void countBrokenStream();
   void countDisconnectedCaller();
+  void countEndpointCrash();
   void observeLedgerLatency(Duration Elapsed);
   /// Records the age that the local copy of the store reached before it was
   /// confirmed again.
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -31,11 +31,10 @@
 Relay::Impl::chooseNextEndpoint(RequestContext &Context) {
   if (Context.TriedEndpoints.size() >= MaxEndpointsPerRequest)
     return std::nullopt;
-  EndpointQuery Query{Context.Service,
-                      {},
-                      Context.Metadata.Prompt,
-                      Context.LastEndpoint,
-                      Context.TriedEndpoints};
+  EndpointQuery Query{
+      Context.Service,         {},
+      Context.Metadata.Prompt, Context.LastEndpoint,
+      Context.TriedEndpoints,  Crashes.isSuspect(Context.Digest, steadyNow())};
   if (Context.MatchedRoute.Kind == RequestKind::Stream)
     Query.AffinityKey = Context.Metadata.Program.empty()
                             ? Context.Metadata.RequestId
@@ -206,6 +205,9 @@
         AttemptOutcome::NotRun, {}, "could not connect to the endpoint"};
   const TimePoint SentAt = steadyNow();
   Endpoints.onRequestStarted(To.Endpoint, SentAt);
+  const bool IsSuspect = Crashes.isSuspect(Context.Digest, SentAt);
+  if (IsSuspect)
+    Endpoints.onSuspectStarted(To.Endpoint);
   Expected<HttpHead> Head =
       co_await readMatchingHead(Context, *Call, To.Endpoint);
   Expected<std::string> Body =
@@ -214,6 +216,8 @@
     Body = co_await readBody(*Call, *Head);
   }
   Endpoints.onRequestEnded(To.Endpoint);
+  if (IsSuspect)
+    Endpoints.onSuspectEnded(To.Endpoint);
   if (Head && Body && isRefusal(*Head)) {
     Call->finish();
     recordNotRun(Context, To, *Head);
@@ -226,6 +230,9 @@
     } else {
       Endpoints.onFailure(To.Endpoint, steadyNow());
       Metrics.countRetry(RelayRetryReason::Broken);
+      if (Call->isEndedByServer()) {
+        co_await recordBrokenAttempt(Context, To, SentAt);
+      }
     }
     const std::string FailureReason =
         !Head ? Head.error().Message : Body.error().Message;
@@ -238,6 +245,7 @@
   }
   Call->finish();
   recordAnswer(To, Head->Status);
+  Crashes.onAnswered(Context.Digest, steadyNow());
   co_return AttemptResult{
       AttemptOutcome::Answered, {std::move(*Head), std::move(*Body)}, {}};
 }
--- a/packages/relay/src/EndpointTable.cpp
+++ b/packages/relay/src/EndpointTable.cpp
@@ -37,6 +37,11 @@
 /// Exceeds all other costs, so that endpoints in back-off and outliers are used
 /// only when there is no other.
 constexpr double BackoffPenaltyMs = 100000;
+/// For each other request in flight under which an endpoint crashed before, if
+/// the request is one of these too. Less than the penalty of a back-off.
+constexpr double SuspectPenaltyMs = 10000;
+/// The same for other requests: most suspects are innocent.
+constexpr double BesideSuspectMs = 50;
 /// Added for each place in the order of preference, which depends on the
 /// affinity key. Breaks ties between equal costs, so that not all programs go
 /// to the same endpoint.
@@ -126,6 +131,8 @@
   for (const auto &[Endpoint, Status] : Statuses) {
     if (Status.Running > 0)
       Result.InFlight[Endpoint] = Status.Running;
+    if (Status.Suspects > 0)
+      Result.Suspects[Endpoint] = Status.Suspects;
     const OutcomeCounts Counts = Status.Outcomes.counts(Now);
     if (Counts.Failures > 0)
       Result.Outcomes[Endpoint] = Counts;
@@ -143,11 +150,21 @@
   RemoteNewsAt = Now;
 }
 
-std::uint32_t EndpointTable::remoteRunning(const EndpointId &Endpoint,
-                                           TimePoint Now) const {
-  const auto It = RemoteNews.InFlight.find(Endpoint);
+std::uint32_t EndpointTable::remoteCount(const InFlightByEndpoint &Counts,
+                                         const EndpointId &Endpoint,
+                                         TimePoint Now) const {
+  const auto It = Counts.find(Endpoint);
   const bool IsValid = Now - RemoteNewsAt <= EndpointNewsLifetime;
-  return IsValid && It != RemoteNews.InFlight.end() ? It->second : 0;
+  return IsValid && It != Counts.end() ? It->second : 0;
+}
+
+double EndpointTable::suspectCostMs(const EndpointStatus &Candidate,
+                                    const EndpointQuery &Query,
+                                    TimePoint Now) const {
+  const auto Suspects =
+      Candidate.Suspects +
+      remoteCount(RemoteNews.Suspects, Candidate.Entry.Endpoint, Now);
+  return Suspects * (Query.IsSuspect ? SuspectPenaltyMs : BesideSuspectMs);
 }
 
 bool EndpointTable::isOutlierAt(const EndpointStatus &Candidate,
@@ -193,7 +210,8 @@
                                       const EndpointQuery &Query,
                                       TimePoint Now) const {
   const EndpointEntry &Entry = Candidate.Entry;
-  const double Running = Candidate.Running + remoteRunning(Entry.Endpoint, Now);
+  const double Running =
+      Candidate.Running + remoteCount(RemoteNews.InFlight, Entry.Endpoint, Now);
   const double Slots = std::max(1U, Entry.Slots);
   double Cost = Running * BatchDelayMs;
   if (!Query.Prompt.empty())
@@ -208,6 +226,7 @@
         Query.AffinityKey.empty() ? OtherDataCentreMs : OtherDataCentreTurnMs;
   if (Candidate.BackoffUntil > Now)
     Cost += BackoffPenaltyMs;
+  Cost += suspectCostMs(Candidate, Query, Now);
   return Cost;
 }
 
@@ -323,6 +342,24 @@
     --It->second.Running;
 }
 
+void EndpointTable::onSuspectStarted(const EndpointId &Endpoint) {
+  if (const auto It = Statuses.find(Endpoint); It != Statuses.end())
+    ++It->second.Suspects;
+}
+
+void EndpointTable::onSuspectEnded(const EndpointId &Endpoint) {
+  const auto It = Statuses.find(Endpoint);
+  if (It != Statuses.end() && It->second.Suspects > 0)
+    --It->second.Suspects;
+}
+
+bool EndpointTable::isServing(const EndpointEntry &Entry) const {
+  const auto It = Statuses.find(Entry.Endpoint);
+  return It != Statuses.end() && isUsable(It->second, Entry.Service) &&
+         It->second.Entry.Address == Entry.Address &&
+         It->second.Entry.StartedAt == Entry.StartedAt;
+}
+
 void EndpointTable::onSuccess(const EndpointId &Endpoint, TimePoint Now) {
   const auto It = Statuses.find(Endpoint);
   if (It == Statuses.end())
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -96,6 +96,8 @@
 
 Task<void> Relay::serve(HttpExchange &Call) { return Inner->serve(Call); }
 
+Task<void> Relay::exchangeCrashes() { return Inner->exchangeCrashes(); }
+
 std::optional<Error> Relay::Impl::prepare(RequestContext &Context) {
   const HttpRequest &Request = Context.Caller.request();
   if (RejectsNewRequests)
@@ -130,7 +132,9 @@
           ? std::min(*Context.Metadata.TimeLeft, Context.MatchedRoute.Timeout)
           : Context.MatchedRoute.Timeout;
   Context.Deadline = Context.Caller.requestReadAt() + Wait;
-  return std::nullopt;
+  Context.Digest =
+      digestOf(Request.Method, *Host, Request.Target, Request.Body);
+  return refusalAfterCrashes(Context);
 }
 
 std::optional<Duration> Relay::Impl::catalogAge() const {
@@ -253,7 +257,8 @@
     const bool MayRepeat =
         Context.MatchedRoute.Kind == RequestKind::Idempotent &&
         Context.PossibleRuns < Context.MatchedRoute.MaxAttempts;
-    if (Result.Outcome == AttemptOutcome::Indeterminate && !MayRepeat)
+    if (Result.Outcome == AttemptOutcome::Indeterminate &&
+        (!MayRepeat || Crashes.isBlocked(Context.Digest, steadyNow())))
       break;
   }
   Error Failure{ErrorKind::Overloaded, FailureReason, NotRun::Proved, {}};
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -29,6 +29,8 @@
   /// The earlier of the caller's deadline and the route's timeout.
   TimePoint Deadline;
   std::string Body;
+  /// Of the request as the caller sent it.
+  RequestDigest Digest;
   std::set<EndpointId> TriedEndpoints;
   /// Where the program's last turn ran according to the ledgers.
   EndpointId LastEndpoint;
@@ -99,7 +101,10 @@
        QuorumClient &Ledgers, ConnectionPool &Pool, RelayMetrics &Metrics)
       : Io(Io), Wire(Wire), Ledgers(Ledgers), Pool(Pool), Metrics(Metrics),
         Endpoints(Options.Endpoints), Chains(Options.ChainCacheBytes),
-        Configuration(std::move(Options.Configuration)) {}
+        Configuration(std::move(Options.Configuration)),
+        Crashes(Options.Crashes, std::move(Options.ProcessId)),
+        CrashExchangeInterval(Options.CrashExchangeInterval),
+        CrashObserved(Io) {}
 
   Loop &Io;
   const Dialect &Wire;
@@ -110,6 +115,18 @@
   ChainCache Chains;
   Catalog ActiveCatalog;
   const CatalogSource Configuration;
+  CrashRecords Crashes;
+  const Duration CrashExchangeInterval;
+  /// Raised when an endpoint crashed.
+  Signal CrashObserved;
+  /// The exchange of crash records with one ledger.
+  struct CrashPeer {
+    CrashPosition Received;
+    /// The last change observed here that the ledger has.
+    std::uint64_t SentNumber = 0;
+    bool IsCalled = false;
+  };
+  std::map<std::string, CrashPeer> CrashPeers;
   bool RejectsNewRequests = false;
 
   // Relay.cpp: routes, deadlines and refusals.
@@ -169,6 +186,17 @@
   void recordNotRun(internal::RequestContext &Context, const EndpointEntry &To,
                     const HttpHead &Head);
 
+  // Crashes.cpp: requests that crash endpoints.
+  /// Returns why a request is refused if too many endpoints crashed under it.
+  std::optional<Error>
+  refusalAfterCrashes(const internal::RequestContext &Context);
+  /// Records a crash if the endpoint ended while it ran the request, as opposed
+  /// to a lost connection or a planned stop.
+  Task<void> recordBrokenAttempt(const internal::RequestContext &Context,
+                                 EndpointEntry To, TimePoint SentAt);
+  Task<void> exchangeCrashes();
+  Task<void> exchangeCrashesWith(std::string Address);
+
   // Turns.cpp: budgets, chains and streams.
   Task<void> serveTurn(internal::RequestContext &Context);
   /// Reserves the maximum tokens of the turn at the ledgers. Returns why the
--- a/packages/relay/src/RelayMetrics.cpp
+++ b/packages/relay/src/RelayMetrics.cpp
@@ -40,11 +40,17 @@
 }
 
 std::vector<std::string> relayMetricNames() {
-  return {"tamarack_answers_total",       "tamarack_refusals_total",
-          "tamarack_retries_total",       "tamarack_answer_seconds",
-          "tamarack_first_event_seconds", "tamarack_ledger_seconds",
-          "tamarack_store_age_seconds",   "tamarack_streams_broken_total",
-          "tamarack_callers_left_total",  "tamarack_state"};
+  return {"tamarack_answers_total",
+          "tamarack_refusals_total",
+          "tamarack_retries_total",
+          "tamarack_answer_seconds",
+          "tamarack_first_event_seconds",
+          "tamarack_ledger_seconds",
+          "tamarack_store_age_seconds",
+          "tamarack_streams_broken_total",
+          "tamarack_callers_left_total",
+          "tamarack_endpoint_crashes_total",
+          "tamarack_state"};
 }
 
 struct RelayMetrics::Impl {
@@ -86,6 +92,9 @@
               "Streams that ended before their last event");
   prometheus::Counter &DisconnectedCallers = counter(
       "tamarack_callers_left_total", "Callers that left before their answer");
+  prometheus::Counter &EndpointCrashes =
+      counter("tamarack_endpoint_crashes_total",
+              "Requests that were in flight at an endpoint when it crashed");
   std::map<int, prometheus::Counter *> AnswersByStatus;
 
   prometheus::Histogram &histogram(
@@ -134,6 +143,8 @@
   Inner->DisconnectedCallers.Increment();
 }
 
+void RelayMetrics::countEndpointCrash() { Inner->EndpointCrashes.Increment(); }
+
 void RelayMetrics::observeLedgerLatency(Duration Elapsed) {
   Inner->LedgerSeconds.Observe(seconds(Elapsed));
 }
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -189,6 +189,9 @@
                              Info == nullptr ? 0 : Info->MemoryTokens);
   Context.CurrentEndpoint = To.Endpoint;
   const TimePoint SentAt = steadyNow();
+  const bool IsSuspect = Crashes.isSuspect(Context.Digest, SentAt);
+  if (IsSuspect)
+    Endpoints.onSuspectStarted(To.Endpoint);
   Expected<HttpHead> Head =
       co_await readMatchingHead(Context, *Call, To.Endpoint);
   const int Status = Head ? Head->Status : 0;
@@ -211,11 +214,21 @@
     recordSilence(To, SentAt, Head.has_value());
   else
     Endpoints.onFailure(To.Endpoint, steadyNow());
+  const bool IsBroken = Outcome == StreamOutcome::Indeterminate &&
+                        !Context.isCancelled() && Call->isEndedByServer();
   if (Outcome == StreamOutcome::Indeterminate)
     Call->abort();
   else
     Call->finish();
   Endpoints.onRequestEnded(To.Endpoint);
+  if (IsSuspect)
+    Endpoints.onSuspectEnded(To.Endpoint);
+  if (Outcome == StreamOutcome::Finished ||
+      Outcome == StreamOutcome::ErrorForwarded)
+    Crashes.onAnswered(Context.Digest, steadyNow());
+  if (IsBroken) {
+    co_await recordBrokenAttempt(Context, To, SentAt);
+  }
   co_return Outcome;
 }
 
--- a/packages/relay/test/RelayFixture.h
+++ b/packages/relay/test/RelayFixture.h
@@ -255,15 +255,16 @@
     return Result;
   }
 
-  /// Lists the endpoints with these indexes.
-  void listEndpoints(const std::vector<int> &Numbers) {
+  /// Lists the endpoints with these indexes, as started at \p StartedAt.
+  void listEndpoints(const std::vector<int> &Numbers,
+                     std::uint64_t StartedAt = 0) {
     std::vector<EndpointEntry> Entries;
     Entries.reserve(Numbers.size());
     for (const int Number : Numbers)
       Entries.push_back(
           {EndpointId("e" + std::to_string(Number)), ServiceId("s"),
            "127.0.0.1:" + std::to_string(FirstEndpointPort + Number),
-           DataCentreId("a"), 16, EndpointState::Ready, 0});
+           DataCentreId("a"), 16, EndpointState::Ready, StartedAt});
     RequestRelay.setEndpoints(std::move(Entries));
   }
   /// Replaces a ledger by a peer that accepts connections and never answers.
@@ -345,6 +346,8 @@
 
   RelayOptions options() {
     RelayOptions Result;
+    Result.ProcessId = "entry";
+    Result.CrashExchangeInterval = 50ms;
     Result.Configuration = {[this] { return CatalogAge; }, 2500ms,
                             [this](TimePoint) -> Task<void> {
                               ++CatalogConfirmations;
--- a/packages/turns/include/tamarack/turns/Messages.h
+++ b/packages/turns/include/tamarack/turns/Messages.h
@@ -5,6 +5,7 @@
 #ifndef TAMARACK_TURNS_MESSAGES_H
 #define TAMARACK_TURNS_MESSAGES_H
 
+#include "tamarack/turns/CrashRecords.h"
 #include "tamarack/turns/TurnStore.h"
 
 #include <algorithm>
@@ -33,6 +34,9 @@
 inline constexpr const char *CatchUp = "absorb";
 /// Null to PingResponse.
 inline constexpr const char *Ping = "ping";
+/// CrashRequest to CrashNews: exchanges the requests under which endpoints
+/// crashed.
+inline constexpr const char *Crashes = "crashes";
 } // namespace calls
 
 /// Why a ledger refused a request.
@@ -98,6 +102,8 @@
   InFlightByEndpoint InFlight;
   OutcomesByEndpoint Outcomes;
   RatesByEndpoint Rates;
+  /// The requests in flight under which endpoints crashed before.
+  InFlightByEndpoint Suspects = {};
 
   friend bool operator==(const EndpointNews &, const EndpointNews &) = default;
 };
--- a/packages/turns/src/Messages.cpp
+++ b/packages/turns/src/Messages.cpp
@@ -18,6 +18,20 @@
     Field = Found->template get<T>();
 }
 
+Json encodeCounts(const InFlightByEndpoint &From) {
+  Json Result = Json::object();
+  for (const auto &[Endpoint, Count] : From)
+    Result[Endpoint.text()] = Count;
+  return Result;
+}
+
+InFlightByEndpoint decodeCounts(const Json &Value) {
+  InFlightByEndpoint Result;
+  for (const auto &[Endpoint, Count] : Value.items())
+    Result[EndpointId(Endpoint)] = Count.get<std::uint32_t>();
+  return Result;
+}
+
 template <typename T> Json valueOrNull(const std::optional<T> &Field) {
   return Field ? Json(*Field) : Json();
 }
@@ -57,9 +71,6 @@
 }
 
 void to_json(Json &Value, const EndpointNews &From) {
-  Json InFlight = Json::object();
-  for (const auto &[Endpoint, Count] : From.InFlight)
-    InFlight[Endpoint.text()] = Count;
   Json Outcomes = Json::object();
   for (const auto &[Endpoint, Counts] : From.Outcomes)
     Outcomes[Endpoint.text()] =
@@ -68,14 +79,13 @@
   for (const auto &[Endpoint, Rate] : From.Rates)
     Rates[Endpoint.text()] =
         Json::array({valueOrNull(Rate.Limit), Rate.Sent, Rate.Demand});
-  Value =
-      Json::array({std::move(InFlight), std::move(Outcomes), std::move(Rates)});
+  Value = Json::array({encodeCounts(From.InFlight), std::move(Outcomes),
+                       std::move(Rates), encodeCounts(From.Suspects)});
 }
 
 void from_json(const Json &Value, EndpointNews &To) {
   To = {};
-  for (const auto &[Endpoint, Count] : Value.at(0).items())
-    To.InFlight[EndpointId(Endpoint)] = Count.get<std::uint32_t>();
+  To.InFlight = decodeCounts(Value.at(0));
   for (const auto &[Endpoint, Counts] : Value.at(1).items())
     To.Outcomes[EndpointId(Endpoint)] = {Counts.at(0).get<std::uint32_t>(),
                                          Counts.at(1).get<std::uint32_t>()};
@@ -83,6 +93,9 @@
     To.Rates[EndpointId(Endpoint)] = {readNullable<double>(Rate.at(0)),
                                       Rate.at(1).get<std::uint32_t>(),
                                       Rate.at(2).get<std::uint32_t>()};
+  // Processes of earlier releases do not send it.
+  if (Value.size() > 3)
+    To.Suspects = decodeCounts(Value.at(3));
 }
 
 void to_json(Json &Value, const EndpointLoadReport &From) {
