Take the digest of a request without a Host field

A route of the configuration without a host matches a request without a Host field, whose value was then read through a null pointer for the digest of the request.

--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -109,9 +109,9 @@
                  NotRun::Proved,
                  {}};
   Context.Metadata = Wire.readRequestMetadata(Request.Fields);
-  const std::string *Host = Request.Fields.find("Host");
-  const Route *Found =
-      matchRoute(ActiveCatalog, Host == nullptr ? "" : *Host, Request.Target);
+  const std::string *HostField = Request.Fields.find("Host");
+  const std::string Host = HostField == nullptr ? "" : *HostField;
+  const Route *Found = matchRoute(ActiveCatalog, Host, Request.Target);
   if (Found == nullptr)
     return Error{ErrorKind::UnknownService,
                  "no route matches the host and path of the request",
@@ -132,8 +132,7 @@
           ? std::min(*Context.Metadata.TimeLeft, Context.MatchedRoute.Timeout)
           : Context.MatchedRoute.Timeout;
   Context.Deadline = Context.Caller.requestReadAt() + Wait;
-  Context.Digest =
-      digestOf(Request.Method, *Host, Request.Target, Request.Body);
+  Context.Digest = digestOf(Request.Method, Host, Request.Target, Request.Body);
   return refusalAfterCrashes(Context);
 }
 
