Keep the rate limit of an endpoint that gets few requests

What an endpoint saw: after a pause of a minute 10 requests in 100 ms where it takes 2, 1,000 in 10 s where 10 are due, and 15 a minute where it names 0.1 a second.

Cause: what an endpoint states was forgotten after 10 s without an answer, also by an entry that had sent it nothing meanwhile, so that no answer could come; and every limit below 0.25 a second was raised to it.

Now a statement is reported to others for 10 s as before, but holds here until the endpoint states otherwise, or until others report news and none of them a limit: they send to the endpoint and would know. Only limits below 0.05 a second, whose end their own requests would not notice within 20 s, are raised and forgotten, as limits of zero were.

--- a/packages/relay/include/tamarack/relay/RateLimits.h
+++ b/packages/relay/include/tamarack/relay/RateLimits.h
@@ -63,7 +63,8 @@
   /// endpoint at the same time.
   explicit RateLimits(std::uint64_t Seed) : Seed(Seed) {}
 
-  /// How long a limit holds without another response or a report.
+  /// How long a limit is reported to other entries without another response. It
+  /// holds longer here while no entry reports anything.
   static constexpr Duration StatementLifetime = std::chrono::seconds(10);
 
   /// Records the limit that a response of \p Endpoint states, in requests per
@@ -75,7 +76,7 @@
   /// Records that a request like \p Query is sent, admitted or not.
   void onSent(const RateQuery &Query, TimePoint Now);
   /// The limit of \p Endpoint that this or another entry was told, in requests
-  /// per second, but not less than what it takes to notice its end.
+  /// per second; what it takes to notice its end if it is less than that.
   std::optional<double> limitOf(const EndpointId &Endpoint,
                                 TimePoint Now) const;
   bool admits(const RateQuery &Query, TimePoint Now) const;
--- a/packages/relay/src/RateLimits.cpp
+++ b/packages/relay/src/RateLimits.cpp
@@ -7,9 +7,12 @@
 
 /// An entry saves up the tokens of this time, and at least one.
 constexpr double MaxSavedSeconds = 1;
-/// All entries together send at least this often, in requests per second, to an
-/// endpoint with a lower limit. Without responses nobody would notice its end.
-constexpr double MinLimit = 0.25;
+/// The end of a limit below this, in requests per second, is not noticed in
+/// time by the requests that it lets pass.
+constexpr double MinNoticeableLimit = 0.05;
+/// What all entries together send to an endpoint with such a limit, in requests
+/// per second, so that its end is noticed.
+constexpr double ProbeRate = 0.25;
 /// The share of an entry that has not heard from any other one yet.
 constexpr double UnknownShare = 0.25;
 
@@ -58,9 +61,14 @@
 std::optional<double> RateLimits::statedLimit(const EndpointId &Endpoint,
                                               TimePoint Now) const {
   const auto Known = Stated.find(Endpoint);
-  if (Known == Stated.end() || Now - Known->second.At > StatementLifetime)
+  if (Known == Stated.end())
     return std::nullopt;
-  return Known->second.PerSecond;
+  const double Limit = Known->second.PerSecond;
+  if (Now - Known->second.At <= StatementLifetime)
+    return Limit;
+  // Others that send to the endpoint would report the limit if it still held.
+  const bool HasEnded = isRemoteRecent(Now) || Limit < MinNoticeableLimit;
+  return HasEnded ? std::nullopt : std::optional(Limit);
 }
 
 void RateLimits::startTokens(const EndpointId &Endpoint, TimePoint Now) {
@@ -99,8 +107,8 @@
   const auto Other = Remote.find(Endpoint);
   if (!Limit && Other != Remote.end() && isRemoteRecent(Now))
     Limit = Other->second.Limit;
-  if (Limit)
-    Limit = std::max(*Limit, MinLimit);
+  if (Limit && *Limit < MinNoticeableLimit)
+    Limit = ProbeRate;
   return Limit;
 }
 
@@ -155,9 +163,11 @@
 EndpointRate RateLimits::rateOf(const EndpointId &Endpoint,
                                 const ServiceId &Service, TimePoint Now) const {
   EndpointRate Result;
-  // Only what the endpoint told this entry itself is passed on, so that a limit
-  // that has ended does not live on in the reports.
-  Result.Limit = statedLimit(Endpoint, Now);
+  // Only what the endpoint told this entry itself lately is passed on, so that
+  // a limit that has ended does not live on in the reports.
+  const auto Known = Stated.find(Endpoint);
+  if (Known != Stated.end() && Now - Known->second.At <= StatementLifetime)
+    Result.Limit = Known->second.PerSecond;
   if (const auto Use = Uses.find(Endpoint); Use != Uses.end())
     Result.Sent = Use->second.Sent.count(Now);
   if (const auto Sent = SentInAll.find(Service); Sent != SentInAll.end())
