--- a/packages/relay/src/Crashes.cpp
+++ b/packages/relay/src/Crashes.cpp
@@ -9,6 +9,8 @@
 /// The timeout of the connection that shows whether an endpoint has ended. One
 /// to another region takes 40 ms.
 constexpr Duration ProbeTimeout = std::chrono::milliseconds(200);
+/// The timeout of an exchange with one ledger, which covers the opening of a
+/// new connection. Others are asked meanwhile.
 constexpr Duration ExchangeTimeout = std::chrono::milliseconds(800);
 
 } // namespace
