--- a/packages/relay/test/RelayFixture.h
+++ b/packages/relay/test/RelayFixture.h
@@ -349,15 +349,17 @@
     Result.ProcessId = "entry";
     Result.CrashExchangeInterval = 50ms;
     Result.Configuration = {[this] { return CatalogAge; }, 2500ms,
-                            [this](TimePoint) -> Task<void> {
-                              ++CatalogConfirmations;
-                              if (OnConfirmCatalog)
-                                OnConfirmCatalog();
-                              co_return;
-                            }};
+                            [this](TimePoint) { return confirmCatalog(); }};
     return Result;
   }
 
+  Task<void> confirmCatalog() {
+    ++CatalogConfirmations;
+    if (OnConfirmCatalog)
+      OnConfirmCatalog();
+    co_return;
+  }
+
   /// How old the configuration is; empty if it was never confirmed.
   std::optional<Duration> CatalogAge = Duration(0);
   std::function<void()> OnConfirmCatalog;
