Read the request in place when its endpoint has crashed; mend a header

recordBrokenAttempt copied the digest and the id of a request that outlives the call. The header of CrashRecords named a private function and had a broken line.

--- a/packages/relay/src/Crashes.cpp
+++ b/packages/relay/src/Crashes.cpp
@@ -32,8 +32,6 @@
 Task<void> Relay::Impl::recordBrokenAttempt(const RequestContext &Context,
                                             EndpointEntry To,
                                             TimePoint SentAt) {
-  const RequestDigest Digest = Context.Digest;
-  const std::string RequestId = Context.Metadata.RequestId;
   const Expected<Tcp::endpoint> Peer = parseAddress(To.Address);
   if (!Peer || !Endpoints.isServing(To))
     co_return;
@@ -41,11 +39,11 @@
   if (State != PortState::Closed || !Endpoints.isServing(To))
     co_return;
   const std::size_t Count =
-      Crashes.onCrash(Digest, To.Endpoint, SentAt, steadyNow());
+      Crashes.onCrash(Context.Digest, To.Endpoint, SentAt, steadyNow());
   Metrics.countEndpointCrash();
   LogLine("entry.endpoint_crashed")
-      .with("request", RequestId)
-      .with("digest", Digest)
+      .with("request", Context.Metadata.RequestId)
+      .with("digest", Context.Digest)
       .with("endpoint", To.Endpoint)
       .with("crashes", Count);
   CrashObserved.raise();
--- a/packages/turns/include/tamarack/turns/CrashRecords.h
+++ b/packages/turns/include/tamarack/turns/CrashRecords.h
@@ -16,9 +16,9 @@
 /// together, for some time, if several endpoints crashed under them and none of
 /// them was ever answered.
 ///
-/// Records are kept in
-/// memory only, by entries and by ledgers, which exchange them: merge() is
-/// idempotent, and recordsAfter() returns what changed.
+/// Records are kept in memory only, by entries and by ledgers, which exchange
+/// them: merge() is idempotent, and newsAfter() and observedAfter() return what
+/// changed.
 #ifndef TAMARACK_TURNS_CRASHRECORDS_H
 #define TAMARACK_TURNS_CRASHRECORDS_H
 
