Show that a resumed stream goes on at another software version, red

Four cases: the same entry, another entry after the first died, a stream of unknown version, and one whose version has no endpoint left. All fail: the choice of an endpoint takes endpoints of one service for the same, and nothing is kept of where a stream began.

--- a/packages/relay/test/RelayFixture.h
+++ b/packages/relay/test/RelayFixture.h
@@ -28,6 +28,9 @@
       Result.Budget = std::stoul(text(Fields, "Budget"));
       Result.MaxTurnTokens = std::stoul(text(Fields, "Most"));
     }
+    Result.ResumedTurn = TurnId(text(Fields, "Resumes"));
+    if (Fields.has("Last-Event"))
+      Result.LastEventId = text(Fields, "Last-Event");
     return Result;
   }
   ResponseMetadata readResponseMetadata(const HttpHead &Head) const override {
@@ -94,14 +97,19 @@
                      std::to_string(Number) + "\n\n");
 }
 
-/// A complete signed stream of the events 1 to \p Events.
-inline std::string completeStream(int Events) {
+/// The events \p First to \p Last of a stream that goes on.
+inline std::string resumedStream(int First, int Last) {
   std::string Result = signedStreamHead();
-  for (int Number = 1; Number <= Events; ++Number)
+  for (int Number = First; Number <= Last; ++Number)
     Result += eventChunk(Number);
   return Result + std::string(LastChunk);
 }
 
+/// A complete signed stream of the events 1 to \p Events.
+inline std::string completeStream(int Events) {
+  return resumedStream(1, Events);
+}
+
 /// A response which states that the endpoint did not run the request.
 inline ScriptedResponse notRunResponse() {
   return {signedResponse("", "Not-Run: 1\r\n", "503 Service Unavailable")};
@@ -308,8 +316,7 @@
                                              HttpRequest Request) {
     Request.Fields.set("Host", Host);
     Request.Fields.set("Content-Length", std::to_string(Request.Body.size()));
-    auto Call = co_await HttpCall::open(
-        CallerPool, "127.0.0.1:" + std::to_string(EntryPort));
+    auto Call = co_await HttpCall::open(CallerPool, EntryAddress);
     if (!Call)
       co_return tl::unexpected(Call.error());
     (*Call)->send(encodeRequest(Request));
@@ -362,6 +369,8 @@
 
   /// How old the configuration is; empty if it was never confirmed.
   std::optional<Duration> CatalogAge = Duration(0);
+  /// The entry that callers use.
+  std::string EntryAddress = "127.0.0.1:" + std::to_string(EntryPort);
   std::function<void()> OnConfirmCatalog;
   int CatalogConfirmations = 0;
   TestDialect Wire;
