Continue a resumed stream only at the software version that began it

What two versions generate does not fit together.

Cause: nothing was kept of where a stream began, so a request that resumes one was an ordinary turn to the choice of an endpoint. Class: endpoints of one service were taken for interchangeable, while state belongs to one version.

The endpoint of a resumable stream is now chosen before the reservation, which carries its process (id, start time, service, version). The reservation of a resumption brings it back: both are on majorities, so one ledger in common has it, also after the first entry died, after a lost disk, and after power was lost everywhere. The request then goes only to that version. If an endpoint did not run the turn and one of another version is next, a new origin is stored before the turn is sent. A stream of unknown origin goes on only while its service has a single version, among the listed endpoints and among all origins that the quorum still keeps; else it is refused as not run, at once, without a time to come back. tamarack_resumptions_total counts each decision.

--- a/packages/base/include/tamarack/base/Error.h
+++ b/packages/base/include/tamarack/base/Error.h
@@ -40,6 +40,8 @@
   EndpointFailed,
   OutcomeUnknown,
   CrashesEndpoints,
+  UnknownStream,
+  VersionUnavailable,
   Leaving,
   Fenced,
   RevisionConflict,
--- a/packages/base/src/Error.cpp
+++ b/packages/base/src/Error.cpp
@@ -30,6 +30,8 @@
     {ErrorKind::EndpointFailed, "endpoint_failed", 502, seconds(0)},
     {ErrorKind::OutcomeUnknown, "outcome_unknown", 502, seconds(0)},
     {ErrorKind::CrashesEndpoints, "crashes_endpoints", 500, seconds(0)},
+    {ErrorKind::UnknownStream, "unknown_stream", 503, seconds(0)},
+    {ErrorKind::VersionUnavailable, "version_unavailable", 503, seconds(0)},
     {ErrorKind::Leaving, "leaving", 503, seconds(1)},
     {ErrorKind::Fenced, "fenced", 503, seconds(1)},
     {ErrorKind::RevisionConflict, "revision_conflict", 409, seconds(0)},
--- a/packages/quorum/include/tamarack/quorum/QuorumClient.h
+++ b/packages/quorum/include/tamarack/quorum/QuorumClient.h
@@ -22,6 +22,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace tamarack {
@@ -33,6 +34,8 @@
 struct TurnUpdate {
   TurnRecord Record;
   EndpointId RanAt;
+  /// As RecordRequest::ResumedTurn.
+  std::optional<TurnId> ResumedTurn = {};
 };
 
 /// The state of a program as known to the members that answered.
@@ -41,6 +44,11 @@
   Account Charges;
   /// The endpoint that last ran one of its turns; a hint that may be outdated.
   EndpointId LastRanAt;
+  /// Where the resumed stream began; empty if no member knows.
+  std::optional<StreamOrigin> ResumedOrigin = {};
+  /// The versions at which streams began that may still be resumed; complete
+  /// if the update resumed a stream, else empty.
+  std::set<ServiceVersion> OriginVersions = {};
 };
 
 /// How long an attempt to store a record goes on.
--- a/packages/quorum/src/LedgerCalls.cpp
+++ b/packages/quorum/src/LedgerCalls.cpp
@@ -111,6 +111,11 @@
   RecordResponse Result{LedgerRefusal::None, {}, {}, lastRanAt(Request), {}};
   if (!Request.Record.Charge.Settled)
     Result.ProgramAccount = Store.account(Request.Record.Program);
+  if (Request.ResumedTurn) {
+    Result.ResumedOrigin =
+        Store.origin(*Request.ResumedTurn, Request.Record.Program);
+    Result.OriginVersions = Store.originVersions();
+  }
   if (Request.LoadReport)
     Result.NewsElsewhere = exchangeLoadReports(*Request.LoadReport);
   persist(Request.Record, [Answer, Result = std::move(Result)](
--- a/packages/quorum/src/QuorumClient.cpp
+++ b/packages/quorum/src/QuorumClient.cpp
@@ -275,6 +275,9 @@
       mergeAccount(State->Program.Charges, Answer.ProgramAccount);
       if (State->Program.LastRanAt.empty())
         State->Program.LastRanAt = Answer.LastRanAt;
+      mergeOrigin(State->Program.ResumedOrigin, Answer.ResumedOrigin);
+      State->Program.OriginVersions.insert(Answer.OriginVersions.begin(),
+                                           Answer.OriginVersions.end());
     }
     State->Changed.raise();
   };
@@ -290,7 +293,8 @@
   const std::uint64_t Number = Current.Number;
   const bool HasText = Update.Record.Text != nullptr;
   const std::size_t Needed = copiesNeeded();
-  RecordRequest Request{Number, Update.Record, Update.RanAt, {}};
+  RecordRequest Request{
+      Number, Update.Record, Update.RanAt, {}, Update.ResumedTurn};
   const LinkBody FullBody = encodeBody(Request);
   Request.LoadReport = nextLoadReport();
   const LinkBody FullBodyWithLoad =
@@ -326,8 +330,8 @@
 void QuorumClient::Impl::sendToRemaining(
     const TurnUpdate &Update, TimePoint Deadline,
     const std::shared_ptr<StoreRound> &State) {
-  const LinkBody FullBody = encodeBody(
-      RecordRequest{Current.Number, Update.Record, Update.RanAt, {}});
+  const LinkBody FullBody = encodeBody(RecordRequest{
+      Current.Number, Update.Record, Update.RanAt, {}, Update.ResumedTurn});
   for (const std::string &Sent : State->SentInFull)
     if (State->Stored.count(Sent) == 0)
       DeprioritizedUntil[Sent] = steadyNow() + DeprioritizePeriod;
--- a/packages/relay/include/tamarack/relay/EndpointTable.h
+++ b/packages/relay/include/tamarack/relay/EndpointTable.h
@@ -19,6 +19,7 @@
 #include "tamarack/relay/PromptCache.h"
 #include "tamarack/relay/RateLimits.h"
 #include "tamarack/turns/Messages.h"
+#include "tamarack/turns/StreamOrigin.h"
 
 #include <functional>
 #include <map>
@@ -41,6 +42,8 @@
   std::set<EndpointId> Exclude;
   /// Whether an endpoint crashed under the request before.
   bool IsSuspect = false;
+  /// The only version that may get the request; any if empty.
+  std::optional<SoftwareVersion> Version = {};
 };
 
 struct EndpointTableOptions {
@@ -108,6 +111,13 @@
   void setRemoteNews(EndpointNews Next, TimePoint Now);
 
   std::size_t size() const { return Statuses.size(); }
+  /// Returns the entry of \p Endpoint, or nullptr if it is not listed.
+  const EndpointEntry *find(const EndpointId &Endpoint) const;
+  /// Returns the versions of all listed endpoints of \p Service, also of those
+  /// that are shutting down.
+  std::set<SoftwareVersion> versionsOf(const ServiceId &Service) const;
+  /// Whether an endpoint with this service and version is ready.
+  bool isServed(const ServiceVersion &Wanted) const;
   /// Whether the process of \p Entry is still listed, as ready and not as
   /// leaving, so that its end is not planned.
   bool isServing(const EndpointEntry &Entry) const;
@@ -128,8 +138,7 @@
 
   /// A process that announced its shutdown.
   struct LeavingProcess {
-    std::string Address;
-    std::uint64_t StartedAt = 0;
+    EndpointEntry Entry;
     TimePoint AnnouncedAt;
   };
 
@@ -160,6 +169,10 @@
   /// Whether the endpoint is ready and has not announced its shutdown.
   bool isUsable(const EndpointStatus &Candidate,
                 const ServiceId &Service) const;
+  /// Whether the endpoint is usable and has the version that the query asks
+  /// for.
+  bool isEligible(const EndpointStatus &Candidate,
+                  const EndpointQuery &Query) const;
   /// What a request that is no first turn counts as towards the rate limit.
   RateQuery rateQuery(const EndpointStatus &Candidate) const;
   /// Whether the rate limit of the endpoint admits a request like \p Query.
--- a/packages/relay/include/tamarack/relay/RelayMetrics.h
+++ b/packages/relay/include/tamarack/relay/RelayMetrics.h
@@ -7,6 +7,7 @@
 
 #include "tamarack/base/Clock.h"
 #include "tamarack/base/Error.h"
+#include "tamarack/relay/Resumption.h"
 
 #include <memory>
 #include <string>
@@ -43,6 +44,7 @@
   void countBrokenStream();
   void countDisconnectedCaller();
   void countEndpointCrash();
+  void countResumption(ResumptionOutcome Outcome);
   void observeLedgerLatency(Duration Elapsed);
   /// Records the age that the local copy of the store reached before it was
   /// confirmed again.
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -27,18 +27,24 @@
 
 } // namespace
 
+EndpointQuery Relay::Impl::endpointQuery(const RequestContext &Context) const {
+  EndpointQuery Result{
+      Context.Service,         {},
+      Context.Metadata.Prompt, Context.LastEndpoint,
+      Context.TriedEndpoints,  Crashes.isSuspect(Context.Digest, steadyNow()),
+      Context.RequiredVersion};
+  if (Context.MatchedRoute.Kind == RequestKind::Stream)
+    Result.AffinityKey = Context.Metadata.Program.empty()
+                             ? Context.Metadata.RequestId
+                             : Context.Metadata.Program.text();
+  return Result;
+}
+
 std::optional<EndpointEntry>
 Relay::Impl::chooseNextEndpoint(RequestContext &Context) {
   if (Context.TriedEndpoints.size() >= MaxEndpointsPerRequest)
     return std::nullopt;
-  EndpointQuery Query{
-      Context.Service,         {},
-      Context.Metadata.Prompt, Context.LastEndpoint,
-      Context.TriedEndpoints,  Crashes.isSuspect(Context.Digest, steadyNow())};
-  if (Context.MatchedRoute.Kind == RequestKind::Stream)
-    Query.AffinityKey = Context.Metadata.Program.empty()
-                            ? Context.Metadata.RequestId
-                            : Context.Metadata.Program.text();
+  const EndpointQuery Query = endpointQuery(Context);
   std::optional<EndpointEntry> Chosen = Endpoints.choose(Query, steadyNow());
   Context.RateLimitDelay =
       Chosen ? std::nullopt : Endpoints.rateLimitDelay(Query, steadyNow());
--- a/packages/relay/src/EndpointTable.cpp
+++ b/packages/relay/src/EndpointTable.cpp
@@ -63,6 +63,11 @@
 /// seconds of its end.
 constexpr Duration LeavingLifetime = std::chrono::minutes(10);
 
+/// Whether two entries of one endpoint are of the same process.
+bool isSameProcess(const EndpointEntry &Left, const EndpointEntry &Right) {
+  return Left.Address == Right.Address && Left.StartedAt == Right.StartedAt;
+}
+
 } // namespace
 
 EndpointTable::EndpointTable(EndpointTableOptions Options)
@@ -79,8 +84,7 @@
       continue;
     }
     EndpointStatus Updated = std::move(It->second);
-    if (Updated.Entry.Address != Entry.Address ||
-        Updated.Entry.StartedAt != Entry.StartedAt) {
+    if (!isSameProcess(Updated.Entry, Entry)) {
       Stale.push_back(Updated.Entry.Address);
       Updated.Failures = 0;
       Updated.BackoffUntil = {};
@@ -105,15 +109,13 @@
   const auto It = Statuses.find(Endpoint);
   if (It == Statuses.end() || isLeaving(It->second.Entry))
     return false;
-  Leaving[Endpoint] = {It->second.Entry.Address, It->second.Entry.StartedAt,
-                       Now};
+  Leaving[Endpoint] = {It->second.Entry, Now};
   return true;
 }
 
 bool EndpointTable::isLeaving(const EndpointEntry &Entry) const {
   const auto It = Leaving.find(Entry.Endpoint);
-  return It != Leaving.end() && It->second.Address == Entry.Address &&
-         It->second.StartedAt == Entry.StartedAt;
+  return It != Leaving.end() && isSameProcess(It->second.Entry, Entry);
 }
 
 void EndpointTable::forgetOldLeaving(TimePoint Now) {
@@ -237,6 +239,12 @@
          !isLeaving(Candidate.Entry);
 }
 
+bool EndpointTable::isEligible(const EndpointStatus &Candidate,
+                               const EndpointQuery &Query) const {
+  return isUsable(Candidate, Query.Service) &&
+         (!Query.Version || *Query.Version == Candidate.Entry.Version);
+}
+
 RateQuery EndpointTable::rateQuery(const EndpointStatus &Candidate) const {
   RateQuery Result{Candidate.Entry.Endpoint, Candidate.Entry.Service, 1, 1};
   if (distanceTo(Candidate) >= 2)
@@ -261,7 +269,7 @@
   double PerSecond = 0;
   bool AnyLimited = false;
   for (const auto &[Endpoint, Status] : Statuses) {
-    if (!isUsable(Status, Query.Service) || Query.Exclude.count(Endpoint) > 0)
+    if (!isEligible(Status, Query) || Query.Exclude.count(Endpoint) > 0)
       continue;
     const std::optional<double> Limit = Rates.limitOf(Endpoint, Now);
     if (!Limit)
@@ -280,7 +288,7 @@
                                                    TimePoint Now) const {
   std::vector<const EndpointStatus *> Candidates;
   for (const auto &[Endpoint, Status] : Statuses)
-    if (isUsable(Status, Query.Service))
+    if (isEligible(Status, Query))
       Candidates.push_back(&Status);
   const std::set<const EndpointStatus *> Outliers = outliersOf(Candidates, Now);
   struct Ranked {
@@ -356,8 +364,29 @@
 bool EndpointTable::isServing(const EndpointEntry &Entry) const {
   const auto It = Statuses.find(Entry.Endpoint);
   return It != Statuses.end() && isUsable(It->second, Entry.Service) &&
-         It->second.Entry.Address == Entry.Address &&
-         It->second.Entry.StartedAt == Entry.StartedAt;
+         isSameProcess(It->second.Entry, Entry);
+}
+
+const EndpointEntry *EndpointTable::find(const EndpointId &Endpoint) const {
+  const auto It = Statuses.find(Endpoint);
+  return It == Statuses.end() ? nullptr : &It->second.Entry;
+}
+
+std::set<SoftwareVersion>
+EndpointTable::versionsOf(const ServiceId &Service) const {
+  std::set<SoftwareVersion> Result;
+  for (const auto &[Endpoint, Status] : Statuses)
+    if (Status.Entry.Service == Service)
+      Result.insert(Status.Entry.Version);
+  return Result;
+}
+
+bool EndpointTable::isServed(const ServiceVersion &Wanted) const {
+  return std::any_of(Statuses.begin(), Statuses.end(),
+                     [&](const auto &Candidate) {
+                       return isUsable(Candidate.second, Wanted.Service) &&
+                              Candidate.second.Entry.Version == Wanted.Version;
+                     });
 }
 
 void EndpointTable::onSuccess(const EndpointId &Endpoint, TimePoint Now) {
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -212,7 +212,7 @@
   }
   HttpResponse Answer{{Mapping.HttpStatus, {}}, Failure.Message + "\n"};
   Answer.Head.Fields.add("Content-Type", "text/plain");
-  if (Mapping.HttpStatus == 503)
+  if (Mapping.HttpStatus == 503 && Mapping.RetryAfter.count() > 0)
     Answer.Head.Fields.add("Retry-After",
                            formatSeconds(retryAfter(Context, Failure.Kind)));
   if (isLocalCause(Failure.Kind))
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -6,6 +6,7 @@
 #include "tamarack/relay/ChainCache.h"
 #include "tamarack/relay/EventStream.h"
 #include "tamarack/relay/Relay.h"
+#include "tamarack/relay/Resumption.h"
 
 #include <optional>
 #include <set>
@@ -14,6 +15,11 @@
 
 namespace internal {
 
+/// How long a turn waits for the ledgers before it is refused. Covers a few
+/// round trips between regions, the ledgers' syncs to disk, and the replacement
+/// of one connection that stopped responding.
+inline constexpr Duration LedgerTimeout = std::chrono::milliseconds(1000);
+
 /// Why a request is refused if the rate limits of all endpoints are used up.
 inline constexpr const char *RateLimitReason =
     "all endpoints of the service are at their rate limits";
@@ -36,6 +42,13 @@
   EndpointId LastEndpoint;
   /// The endpoint that this turn was sent to most recently.
   EndpointId CurrentEndpoint;
+  /// The version that it runs, as listed when the endpoint was chosen.
+  SoftwareVersion CurrentVersion;
+  /// The only version that may get the request, if it resumes a stream.
+  std::optional<SoftwareVersion> RequiredVersion;
+  /// The origin of the stream as it was last sent to the ledgers; empty if the
+  /// stream cannot be resumed.
+  std::optional<StreamOrigin> Origin;
   /// The number of endpoints that may have run the request.
   std::uint32_t PossibleRuns = 0;
   /// Set if no endpoint was chosen because of their rate limits: the mean time
@@ -146,7 +159,39 @@
   Task<void> forwardResponse(internal::RequestContext &Context, EndpointId From,
                              HttpResponse Response);
 
+  // Origins.cpp: where streams begin and go on.
+  /// The turn whose stream a caller resumes; empty if none is named, or by
+  /// more bytes than an id has.
+  static TurnId resumedTurn(const RequestMetadata &Metadata);
+  /// Whether the origin of the request's stream is stored.
+  bool storesOrigin(const internal::RequestContext &Context) const;
+  /// The record of the turn while it runs.
+  TurnRecord openRecord(const internal::RequestContext &Context) const;
+  /// Makes \p To the origin of the request's stream.
+  void setOrigin(internal::RequestContext &Context,
+                 const EndpointEntry &To) const;
+  /// Whether the stored origin still holds if \p To gets the request.
+  bool holdsOrigin(const internal::RequestContext &Context,
+                   const EndpointEntry &To) const;
+  /// Stores \p To as the origin of the request's stream. Returns why the
+  /// request is refused, if it is.
+  Task<std::optional<Error>> replaceOrigin(internal::RequestContext &Context,
+                                           EndpointEntry To);
+  /// Stores that the origin is unknown, in the background.
+  void forgetOrigin(internal::RequestContext &Context);
+  /// Whether the endpoint that the request was sent to is now listed with
+  /// another version, so that it is not known which one generates its events.
+  bool isVersionInDoubt(const internal::RequestContext &Context) const;
+  /// Restricts the request to the version at which its stream goes on. Returns
+  /// why the request is refused, if it is.
+  std::optional<Error> requireVersion(internal::RequestContext &Context,
+                                      const QuorumProgramState &Program);
+  void recordResumption(const internal::RequestContext &Context,
+                        const std::optional<StreamOrigin> &Origin,
+                        ResumptionOutcome Outcome);
+
   // Attempts.cpp: the choice of an endpoint and single attempts.
+  EndpointQuery endpointQuery(const internal::RequestContext &Context) const;
   /// Chooses an endpoint that the request was not sent to before; nothing if
   /// none is left or the maximum number of endpoints is reached.
   std::optional<EndpointEntry>
--- a/packages/relay/src/RelayMetrics.cpp
+++ b/packages/relay/src/RelayMetrics.cpp
@@ -40,17 +40,12 @@
 }
 
 std::vector<std::string> relayMetricNames() {
-  return {"tamarack_answers_total",
-          "tamarack_refusals_total",
-          "tamarack_retries_total",
-          "tamarack_answer_seconds",
-          "tamarack_first_event_seconds",
-          "tamarack_ledger_seconds",
-          "tamarack_store_age_seconds",
-          "tamarack_streams_broken_total",
-          "tamarack_callers_left_total",
-          "tamarack_endpoint_crashes_total",
-          "tamarack_state"};
+  return {"tamarack_answers_total",       "tamarack_refusals_total",
+          "tamarack_retries_total",       "tamarack_answer_seconds",
+          "tamarack_first_event_seconds", "tamarack_ledger_seconds",
+          "tamarack_store_age_seconds",   "tamarack_streams_broken_total",
+          "tamarack_callers_left_total",  "tamarack_endpoint_crashes_total",
+          "tamarack_resumptions_total",   "tamarack_state"};
 }
 
 struct RelayMetrics::Impl {
@@ -70,6 +65,11 @@
           .Name("tamarack_retries_total")
           .Help("Requests sent to another endpoint, by reason")
           .Register(Registry);
+  prometheus::Family<prometheus::Counter> &Resumptions =
+      prometheus::BuildCounter()
+          .Name("tamarack_resumptions_total")
+          .Help("Requests that resume a stream, by what was decided")
+          .Register(Registry);
   prometheus::Family<prometheus::Gauge> &Gauges =
       prometheus::BuildGauge()
           .Name("tamarack_state")
@@ -145,6 +145,10 @@
 
 void RelayMetrics::countEndpointCrash() { Inner->EndpointCrashes.Increment(); }
 
+void RelayMetrics::countResumption(ResumptionOutcome Outcome) {
+  Inner->Resumptions.Add({{"outcome", nameOf(Outcome)}}).Increment();
+}
+
 void RelayMetrics::observeLedgerLatency(Duration Elapsed) {
   Inner->LedgerSeconds.Observe(seconds(Elapsed));
 }
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -4,6 +4,7 @@
 
 namespace tamarack {
 
+using internal::LedgerTimeout;
 using internal::RateLimitReason;
 using internal::RequestContext;
 using internal::StreamOutcome;
@@ -11,11 +12,6 @@
 
 namespace {
 
-/// How long a turn waits for the ledgers before it is refused. Covers a few
-/// round trips between regions, the ledgers' syncs to disk, and the replacement
-/// of one connection that stopped responding.
-constexpr Duration LedgerTimeout = std::chrono::milliseconds(1000);
-
 /// The maximum length of one event. Events hold the text of a few tokens.
 constexpr std::size_t MaxEventBytes = 1U << 20U;
 
@@ -37,24 +33,33 @@
 } // namespace
 
 Task<std::optional<Error>> Relay::Impl::reserve(RequestContext &Context) {
-  if (!Context.Metadata.Budget)
+  const bool Resumes = isResumption(Context.Metadata);
+  if (storesOrigin(Context))
+    if (const auto To = Endpoints.choose(endpointQuery(Context), steadyNow()))
+      setOrigin(Context, *To);
+  if (!Context.Metadata.Budget && !Resumes) {
+    if (Context.Origin)
+      Ledgers.storeRecordInBackground({openRecord(Context), {}});
     co_return std::nullopt;
+  }
   const TurnId Turn(Context.Metadata.RequestId);
   const TimePoint SentAt = steadyNow();
-  TurnRecord Record{Context.Metadata.Program,
-                    Turn,
-                    {Context.Metadata.MaxTurnTokens, false},
-                    nullptr,
-                    {}};
-  TurnUpdate Reservation{std::move(Record), {}};
+  TurnUpdate Reservation{openRecord(Context), {}};
+  if (Resumes)
+    Reservation.ResumedTurn = resumedTurn(Context.Metadata);
   const Expected<QuorumProgramState> Program = co_await Ledgers.storeRecord(
       std::move(Reservation),
       std::min(Context.Deadline, SentAt + LedgerTimeout),
       StoreEffort::UntilCutOff);
   Metrics.observeLedgerLatency(steadyNow() - SentAt);
-  if (!Program)
+  if (!Program) {
+    if (Resumes)
+      recordResumption(Context, {}, ResumptionOutcome::LedgersUnavailable);
     co_return notRunError(ErrorKind::NotEnoughCopies, Program.error().Message);
+  }
   Context.LastEndpoint = Program->LastRanAt;
+  if (!Context.Metadata.Budget)
+    co_return requireVersion(Context, *Program);
   const bool Admitted =
       admits(Program->Charges, Turn, Context.Metadata.MaxTurnTokens,
              *Context.Metadata.Budget);
@@ -70,6 +75,8 @@
   if (!Admitted)
     co_return notRunError(ErrorKind::BudgetExceeded,
                           "the token budget of the program is spent");
+  if (Resumes)
+    co_return requireVersion(Context, *Program);
   co_return std::nullopt;
 }
 
@@ -121,12 +128,6 @@
 }
 
 Task<void> Relay::Impl::serveTurn(RequestContext &Context) {
-  if (isResumption(Context.Metadata))
-    LogLine("entry.resume")
-        .with("request", Context.Metadata.RequestId)
-        .with("resumes", Context.Metadata.ResumedTurn)
-        .with("last_event", Context.Metadata.LastEventId.value_or(""))
-        .with("program", Context.Metadata.Program);
   const std::string Input =
       Context.MatchedRoute.RetainsTurns ? Context.Body : std::string();
   std::optional<Error> Failure = co_await prependChain(Context);
@@ -140,6 +141,11 @@
     const std::optional<EndpointEntry> To = chooseNextEndpoint(Context);
     if (!To)
       break;
+    if (!holdsOrigin(Context, *To)) {
+      Failure = co_await replaceOrigin(Context, *To);
+    }
+    if (Failure)
+      break;
     Outcome = co_await streamFromEndpoint(Context, State, *To);
   }
   if (Outcome == StreamOutcome::Finished) {
@@ -194,6 +200,7 @@
   Endpoints.onRequestStarted(To.Endpoint, steadyNow(), Context.Metadata.Prompt,
                              Info == nullptr ? 0 : Info->MemoryTokens);
   Context.CurrentEndpoint = To.Endpoint;
+  Context.CurrentVersion = To.Version;
   const TimePoint SentAt = steadyNow();
   const bool IsSuspect = Crashes.isSuspect(Context.Digest, SentAt);
   if (IsSuspect)
@@ -267,6 +274,12 @@
       co_return false;
     if (!*Piece)
       co_return !State.Splitter.hasPartialEvent();
+    if (isVersionInDoubt(Context)) {
+      if (Context.RequiredVersion)
+        co_return false;
+      if (Context.Origin && Context.Origin->Process)
+        forgetOrigin(Context);
+    }
     State.Splitter.feed(**Piece);
     std::string Ready;
     while (std::optional<StreamEvent> Event = State.Splitter.next()) {
@@ -302,9 +315,13 @@
         StoredTurn{Turn, Context.Metadata.Previous, std::move(Context.Body),
                    std::move(State.Output), Context.MatchedRoute.Retention});
     const TimePoint SentAt = steadyNow();
-    TurnUpdate Settlement{
-        {Context.Metadata.Program, Turn, {Tokens, true}, FinishedTurn, {}},
-        Context.CurrentEndpoint};
+    TurnUpdate Settlement{{Context.Metadata.Program,
+                           Turn,
+                           {Tokens, true},
+                           FinishedTurn,
+                           {},
+                           Context.Origin},
+                          Context.CurrentEndpoint};
     const Expected<QuorumProgramState> Stored =
         co_await Ledgers.storeRecord(std::move(Settlement), Context.Deadline);
     Metrics.observeLedgerLatency(steadyNow() - SentAt);
--- a/packages/turns/include/tamarack/turns/Messages.h
+++ b/packages/turns/include/tamarack/turns/Messages.h
@@ -126,6 +126,10 @@
   EndpointId RanAt;
   /// Sent from time to time; the response then carries NewsElsewhere.
   std::optional<EndpointLoadReport> LoadReport;
+  /// Set if the turn resumes a stream: the turn of the same program that began
+  /// it, or an empty id if the caller names none. The response then carries
+  /// ResumedOrigin and OriginVersions.
+  std::optional<TurnId> ResumedTurn = {};
 };
 
 struct RecordResponse {
@@ -140,6 +144,10 @@
   /// The sum over all other processes with a recent load report; set if the
   /// request carried a load report.
   std::optional<EndpointNews> NewsElsewhere;
+  /// Where the resumed stream began; empty if the ledger does not know.
+  std::optional<StreamOrigin> ResumedOrigin = {};
+  /// The versions at which streams began that may still be resumed.
+  std::vector<ServiceVersion> OriginVersions = {};
 };
 
 struct ChainRequest {
--- a/packages/turns/include/tamarack/turns/TurnStore.h
+++ b/packages/turns/include/tamarack/turns/TurnStore.h
@@ -17,6 +17,7 @@
 #include "tamarack/base/Clock.h"
 #include "tamarack/turns/Account.h"
 #include "tamarack/turns/Journal.h"
+#include "tamarack/turns/StreamOrigin.h"
 #include "tamarack/turns/View.h"
 
 #include <cstdint>
@@ -62,6 +63,8 @@
   /// Set for ledgers that do not get the text: they may hold preceding turns,
   /// which must be kept as long as this one.
   std::optional<TurnLink> Link;
+  /// Set if the turn's stream may be resumed.
+  std::optional<StreamOrigin> Origin = {};
 };
 
 /// Returns \p Record with its text replaced by a link, for the ledgers that do
@@ -79,11 +82,15 @@
   TurnId Turn;
   bool Settled = false;
   bool HasText = false;
+  /// StreamOrigin::Attempt; zero if the record has no origin.
+  std::uint32_t OriginAttempt = 0;
 
   friend auto operator<=>(const RecordSummary &Left,
                           const RecordSummary &Right) {
-    return std::tuple(Left.Turn.text(), Left.Settled, Left.HasText) <=>
-           std::tuple(Right.Turn.text(), Right.Settled, Right.HasText);
+    return std::tuple(Left.Turn.text(), Left.Settled, Left.HasText,
+                      Left.OriginAttempt) <=>
+           std::tuple(Right.Turn.text(), Right.Settled, Right.HasText,
+                      Right.OriginAttempt);
   }
   friend bool operator==(const RecordSummary &,
                          const RecordSummary &) = default;
@@ -109,6 +116,13 @@
 
   /// Returns the account of \p Program; empty for an unknown program.
   Account account(const ProgramId &Program) const;
+  /// Returns where the stream of \p Turn began; empty if that is not stored or
+  /// if the turn is one of another program than \p Program.
+  std::optional<StreamOrigin> origin(const TurnId &Turn,
+                                     const ProgramId &Program) const;
+  /// Returns the versions of the processes at which streams began that may
+  /// still be resumed.
+  std::vector<ServiceVersion> originVersions() const;
   /// Returns \p Turn and its predecessors, oldest first, back to the first one
   /// whose text is not stored here; empty if the text of \p Turn is not. Fails
   /// if a text cannot be read from disk.
@@ -125,17 +139,20 @@
   Expected<TurnRecord> record(const TurnId &Turn) const;
   /// Returns the location of the record with its text, if the text is on disk.
   std::optional<FrameLocation> textLocation(const TurnId &Turn) const;
-  /// Returns whether \p Summary describes a turn, a settlement or a text that
-  /// this store does not have.
+  /// Returns whether \p Summary describes a turn, a settlement, a text or an
+  /// origin that this store does not have.
   bool isMissing(const RecordSummary &Summary) const;
 
-  /// Drops texts after their retention, and accounts without texts some minutes
-  /// after their last change.
+  /// Drops texts after their retention, origins after the time in which their
+  /// streams may be resumed, and accounts without texts some minutes after
+  /// their last change.
   void expire(TimePoint Now);
 
   /// The number of turns with a text.
   std::size_t storedTurnCount() const;
   std::size_t programCount() const;
+  /// The number of different processes at which streams began.
+  std::size_t originProcessCount() const;
   /// The bytes of text held in memory.
   std::size_t textBytes() const;
 
--- a/packages/turns/src/Messages.cpp
+++ b/packages/turns/src/Messages.cpp
@@ -110,6 +110,8 @@
 void to_json(Json &Value, const RecordRequest &From) {
   Value = Json::array(
       {From.ViewNumber, From.Record, From.RanAt, valueOrNull(From.LoadReport)});
+  if (From.ResumedTurn)
+    Value.push_back(*From.ResumedTurn);
 }
 
 void from_json(const Json &Value, RecordRequest &To) {
@@ -117,12 +119,19 @@
   Value.at(1).get_to(To.Record);
   Value.at(2).get_to(To.RanAt);
   To.LoadReport = readNullable<EndpointLoadReport>(Value.at(3));
+  To.ResumedTurn.reset();
+  if (Value.size() > 4)
+    To.ResumedTurn = Value.at(4).get<TurnId>();
 }
 
 void to_json(Json &Value, const RecordResponse &From) {
   Value = Json::array({From.Refusal, From.ProgramAccount,
                        valueOrNull(From.NewerView), From.LastRanAt,
                        valueOrNull(From.NewsElsewhere)});
+  if (!From.ResumedOrigin && From.OriginVersions.empty())
+    return;
+  Value.push_back(valueOrNull(From.ResumedOrigin));
+  Value.push_back(From.OriginVersions);
 }
 
 void from_json(const Json &Value, RecordResponse &To) {
@@ -131,6 +140,12 @@
   To.NewerView = readNullable<View>(Value.at(2));
   Value.at(3).get_to(To.LastRanAt);
   To.NewsElsewhere = readNullable<EndpointNews>(Value.at(4));
+  To.ResumedOrigin.reset();
+  To.OriginVersions.clear();
+  if (Value.size() <= 5)
+    return;
+  To.ResumedOrigin = readNullable<StreamOrigin>(Value.at(5));
+  Value.at(6).get_to(To.OriginVersions);
 }
 
 void to_json(Json &Value, const ChainRequest &From) {
--- a/packages/turns/src/TurnStore.cpp
+++ b/packages/turns/src/TurnStore.cpp
@@ -1,6 +1,7 @@
 #include "tamarack/turns/TurnStore.h"
 
 #include <algorithm>
+#include <set>
 
 namespace tamarack {
 namespace {
@@ -11,9 +12,19 @@
 /// Added to the retention of a turn to allow for clock skew and for requests
 /// that are in flight when the retention ends.
 constexpr Duration RetentionSlack = std::chrono::seconds(20);
+/// Added to the time in which a stream may be resumed, for the same reasons.
+constexpr Duration OriginSlack = RetentionSlack;
 /// Longer chains are treated as cyclic.
 constexpr std::size_t MaxChainLength = 4096;
 
+/// A stream origin whose process is shared with other streams.
+struct OriginEntry {
+  std::uint32_t Attempt = 0;
+  Duration Lifetime{0};
+  std::shared_ptr<const EndpointProcess> Process;
+  TimePoint ExpiresAt;
+};
+
 struct TurnEntry {
   ProgramId Program;
   TurnCharge Charge;
@@ -23,10 +34,20 @@
   /// Set if any ledger stores the text of the turn.
   std::optional<TurnLink> Link;
   TimePoint ExpiresAt;
+  std::optional<OriginEntry> Origin = {};
 
   bool hasText() const { return Text || Location; }
 };
 
+std::optional<StreamOrigin> originOf(const TurnEntry &Entry) {
+  if (!Entry.Origin)
+    return std::nullopt;
+  StreamOrigin Result{Entry.Origin->Attempt, Entry.Origin->Lifetime, {}};
+  if (Entry.Origin->Process)
+    Result.Process = *Entry.Origin->Process;
+  return Result;
+}
+
 struct ProgramEntry {
   std::vector<TurnId> Turns;
   TimePoint ExpiresAt;
@@ -66,6 +87,8 @@
     Value[4] = *Record.Text;
   if (Record.Link)
     Value[5] = Json::array({Record.Link->Previous, Record.Link->Retention});
+  if (Record.Origin)
+    Value.push_back(*Record.Origin);
 }
 
 void from_json(const Json &Value, TurnRecord &Record) {
@@ -80,6 +103,10 @@
   if (const Json &Link = Value.at(5); !Link.is_null())
     Record.Link =
         TurnLink{Link.at(0).get<TurnId>(), Link.at(1).get<Duration>()};
+  Record.Origin.reset();
+  // Records of earlier releases have none.
+  if (Value.size() > 6)
+    Record.Origin = Value.at(6).get<StreamOrigin>();
 }
 
 TurnRecord withoutText(const TurnRecord &Record) {
@@ -92,19 +119,25 @@
 }
 
 void to_json(Json &Value, const RecordSummary &Summary) {
-  Value = Json::array({Summary.Turn, Summary.Settled, Summary.HasText});
+  Value = Json::array(
+      {Summary.Turn, Summary.Settled, Summary.HasText, Summary.OriginAttempt});
 }
 
 void from_json(const Json &Value, RecordSummary &Summary) {
   Value.at(0).get_to(Summary.Turn);
   Value.at(1).get_to(Summary.Settled);
   Value.at(2).get_to(Summary.HasText);
+  // Processes of earlier releases do not send it.
+  Summary.OriginAttempt =
+      Value.size() > 3 ? Value.at(3).get<std::uint32_t>() : 0;
 }
 
 struct TurnStore::Impl {
   RecordReader ReadRecord;
   std::unordered_map<std::string, TurnEntry> Turns;
   std::unordered_map<std::string, ProgramEntry> Programs;
+  /// The processes that the origins of turns share.
+  std::map<EndpointProcess, std::shared_ptr<const EndpointProcess>> Processes;
   std::size_t TextBytes = 0;
   std::size_t Texts = 0;
 
@@ -124,6 +157,25 @@
     Entry.Text.reset();
   }
 
+  /// Merges an origin into that of a turn and returns whether it changed.
+  bool mergeOriginInto(TurnEntry &Entry, const StreamOrigin &Update,
+                       TimePoint Now) {
+    const std::optional<StreamOrigin> Current = originOf(Entry);
+    std::optional<StreamOrigin> Next = Current;
+    mergeOrigin(Next, Update);
+    std::shared_ptr<const EndpointProcess> Process;
+    if (Next->Process) {
+      auto &Shared = Processes[*Next->Process];
+      if (!Shared)
+        Shared = std::make_shared<const EndpointProcess>(*Next->Process);
+      Process = Shared;
+    }
+    Entry.Origin =
+        OriginEntry{Next->Attempt, Next->Lifetime, std::move(Process),
+                    Now + Next->Lifetime + OriginSlack};
+    return Next != Current;
+  }
+
   /// Keeps \p Last and its predecessors until \p Until at least.
   void extendChainRetention(const TurnId &Last, TimePoint Until) {
     TurnId Next = Last;
@@ -147,7 +199,10 @@
 
 bool TurnStore::apply(const TurnRecord &Record, TimePoint Now) {
   ProgramEntry &Program = Inner->Programs[Record.Program.text()];
-  Program.ExpiresAt = Now + AccountRetention;
+  const Duration OriginRetention =
+      Record.Origin ? Record.Origin->Lifetime + OriginSlack : Duration(0);
+  Program.ExpiresAt = std::max(
+      Program.ExpiresAt, Now + std::max(AccountRetention, OriginRetention));
   const auto [Found, Added] = Inner->Turns.emplace(
       Record.Turn.text(),
       TurnEntry{Record.Program, Record.Charge, {}, {}, {}, {}});
@@ -166,6 +221,8 @@
     ++Inner->Texts;
     Changed = true;
   }
+  if (Record.Origin && Inner->mergeOriginInto(Entry, *Record.Origin, Now))
+    Changed = true;
   const std::optional<TurnLink> Link =
       Record.Text ? withoutText(Record).Link : Record.Link;
   if (Link) {
@@ -186,6 +243,21 @@
   return Result;
 }
 
+std::optional<StreamOrigin> TurnStore::origin(const TurnId &Turn,
+                                              const ProgramId &Program) const {
+  const auto Found = Inner->Turns.find(Turn.text());
+  if (Found == Inner->Turns.end() || Found->second.Program != Program)
+    return std::nullopt;
+  return originOf(Found->second);
+}
+
+std::vector<ServiceVersion> TurnStore::originVersions() const {
+  std::set<ServiceVersion> Result;
+  for (const auto &[Process, Shared] : Inner->Processes)
+    Result.insert(Process.Runs);
+  return {Result.begin(), Result.end()};
+}
+
 Expected<TurnStore::Texts> TurnStore::storedChain(const TurnId &Turn) const {
   Texts Result;
   TurnId Next = Turn;
@@ -216,7 +288,8 @@
   std::vector<RecordSummary> Result;
   Result.reserve(Inner->Turns.size());
   for (const auto &[Turn, Entry] : Inner->Turns)
-    Result.push_back({TurnId(Turn), Entry.Charge.Settled, Entry.hasText()});
+    Result.push_back({TurnId(Turn), Entry.Charge.Settled, Entry.hasText(),
+                      Entry.Origin ? Entry.Origin->Attempt : 0});
   std::sort(Result.begin(), Result.end());
   return Result;
 }
@@ -229,7 +302,8 @@
   const auto Text = Inner->textOf(Entry);
   if (!Text)
     return tl::unexpected(Text.error());
-  return TurnRecord{Entry.Program, Turn, Entry.Charge, *Text, Entry.Link};
+  return TurnRecord{Entry.Program, Turn,       Entry.Charge,
+                    *Text,         Entry.Link, originOf(Entry)};
 }
 
 std::optional<FrameLocation> TurnStore::textLocation(const TurnId &Turn) const {
@@ -245,16 +319,20 @@
     return true;
   const TurnEntry &Entry = Found->second;
   return (Summary.Settled && !Entry.Charge.Settled) ||
-         (Summary.HasText && !Entry.hasText());
+         (Summary.HasText && !Entry.hasText()) ||
+         Summary.OriginAttempt > (Entry.Origin ? Entry.Origin->Attempt : 0);
 }
 
 void TurnStore::expire(TimePoint Now) {
-  for (auto &[Turn, Entry] : Inner->Turns)
+  for (auto &[Turn, Entry] : Inner->Turns) {
     if (Entry.hasText() && Entry.ExpiresAt < Now) {
       Inner->releaseText(Entry);
       Entry.Location.reset();
       --Inner->Texts;
     }
+    if (Entry.Origin && Entry.Origin->ExpiresAt < Now)
+      Entry.Origin.reset();
+  }
   for (auto It = Inner->Programs.begin(); It != Inner->Programs.end();) {
     const std::vector<TurnId> &Turns = It->second.Turns;
     const bool Needed =
@@ -269,10 +347,16 @@
       Inner->Turns.erase(Turn.text());
     It = Inner->Programs.erase(It);
   }
+  std::erase_if(Inner->Processes, [](const auto &Process) {
+    return Process.second.use_count() == 1;
+  });
 }
 
 std::size_t TurnStore::storedTurnCount() const { return Inner->Texts; }
 std::size_t TurnStore::programCount() const { return Inner->Programs.size(); }
+std::size_t TurnStore::originProcessCount() const {
+  return Inner->Processes.size();
+}
 std::size_t TurnStore::textBytes() const { return Inner->TextBytes; }
 
 } // namespace tamarack
