Tell processes of an endpoint apart by their version too

An endpoint that publishes no start time and comes back under its id and at its address with another version was taken for the same process: turns went to it for a cache that only its predecessor had, and it got no work if the predecessor had announced its shutdown. The same class of fault as streams that go on at another version: state of one process or version used for another.

EndpointTableTest/ForPrograms/DropsTheCacheOfAnEndpointThatComesBackAtAnother- Version and AnnouncedShutdown/EndsWhenTheEndpointComesBackAtAnotherVersion failed before.

--- a/packages/relay/src/EndpointTable.cpp
+++ b/packages/relay/src/EndpointTable.cpp
@@ -65,7 +65,8 @@
 
 /// Whether two entries of one endpoint are of the same process.
 bool isSameProcess(const EndpointEntry &Left, const EndpointEntry &Right) {
-  return Left.Address == Right.Address && Left.StartedAt == Right.StartedAt;
+  return Left.Address == Right.Address && Left.StartedAt == Right.StartedAt &&
+         Left.Version == Right.Version;
 }
 
 } // namespace
--- a/packages/relay/test/EndpointTableTest.cpp
+++ b/packages/relay/test/EndpointTableTest.cpp
@@ -20,6 +20,13 @@
           0};
 }
 
+EndpointEntry entryWithVersion(const std::string &Id,
+                               const std::string &Version) {
+  EndpointEntry Result = entry(Id);
+  Result.Version = SoftwareVersion(Version);
+  return Result;
+}
+
 struct EndpointTableFixture {
   EndpointTableFixture()
       : Endpoints({[](const DataCentreId &DataCentre) {
@@ -77,6 +84,17 @@
   }
 }
 
+/// Guards against a turn that is sent to a restarted endpoint for a cache that
+/// its predecessor had. Not all endpoints publish when they started.
+BOOST_AUTO_TEST_CASE(DropsTheCacheOfAnEndpointThatComesBackAtAnotherVersion) {
+  Endpoints.replace({entryWithVersion("1", "v1"), entry("2"), entry("3")}, Now);
+  cachePromptAt("1", "program-7");
+  addRunning("1", 1);
+  BOOST_TEST(chosenEndpoint("program-7") == "1");
+  Endpoints.replace({entryWithVersion("1", "v2"), entry("2"), entry("3")}, Now);
+  BOOST_TEST(chosenEndpoint("program-7") != "1");
+}
+
 BOOST_AUTO_TEST_CASE(PrefersTheEndpointOfTheLastTurn) {
   Endpoints.replace({entry("1"), entry("2")}, Now);
   for (const char *Id : {"1", "2"})
@@ -224,6 +242,13 @@
   BOOST_TEST(chosenEndpoint("") == "1");
 }
 
+BOOST_AUTO_TEST_CASE(EndsWhenTheEndpointComesBackAtAnotherVersion) {
+  Endpoints.replace({entryWithVersion("1", "v1")}, Now);
+  Endpoints.onLeaving(EndpointId("1"), Now);
+  Endpoints.replace({entryWithVersion("1", "v2")}, Now);
+  BOOST_TEST(chosenEndpoint("") == "1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(StaleConnections)
