Prefer versions whose streams could be resumed, at equal cost

In a release the first endpoint of a version, or the last one, serves beside others. A stream that began there is lost with that endpoint, since no other endpoint has its version. Of endpoints that cost the same, those come first whose version has two that are ready; a single one gets work as soon as it is less busy than they are.

EndpointTableTest/ForPrograms/PrefersAVersionWithTwoEndpointsAtEqualCost failed before.

--- a/packages/relay/src/EndpointTable.cpp
+++ b/packages/relay/src/EndpointTable.cpp
@@ -1,6 +1,7 @@
 #include "tamarack/relay/EndpointTable.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace tamarack {
 namespace {
@@ -292,7 +293,12 @@
     if (isEligible(Status, Query))
       Candidates.push_back(&Status);
   const std::set<const EndpointStatus *> Outliers = outliersOf(Candidates, Now);
+  std::map<SoftwareVersion, std::size_t> EndpointsOfVersion;
+  for (const EndpointStatus *Candidate : Candidates)
+    ++EndpointsOfVersion[Candidate->Entry.Version];
   struct Ranked {
+    /// Whether a stream could be resumed at another endpoint.
+    bool IsResumable;
     std::uint64_t Preference;
     const EndpointStatus *Status;
   };
@@ -302,12 +308,14 @@
     if (Query.Exclude.count(Endpoint) == 0 &&
         isWithinRate(*Candidate, Query, Now))
       Order.push_back(
-          {stableHash(Query.AffinityKey, stableHash(Endpoint.text())),
+          {EndpointsOfVersion[Candidate->Entry.Version] > 1,
+           stableHash(Query.AffinityKey, stableHash(Endpoint.text())),
            Candidate});
   }
   std::sort(Order.begin(), Order.end(),
             [](const Ranked &Left, const Ranked &Right) {
-              return Left.Preference > Right.Preference;
+              return std::tie(Left.IsResumable, Left.Preference) >
+                     std::tie(Right.IsResumable, Right.Preference);
             });
   const EndpointStatus *Best = nullptr;
   double BestCost = 0;
--- a/packages/relay/test/EndpointTableTest.cpp
+++ b/packages/relay/test/EndpointTableTest.cpp
@@ -128,6 +128,20 @@
     BOOST_TEST(Count[Id] > 60, Id << " got " << Count[Id] << " of 300");
 }
 
+/// Load pattern: a release, in which the first endpoint of a version or the
+/// last one serves beside others. A stream there could not be resumed after a
+/// crash.
+BOOST_AUTO_TEST_CASE(PrefersAVersionWithTwoEndpointsAtEqualCost) {
+  Endpoints.replace({entryWithVersion("1", "v1"), entryWithVersion("2", "v2"),
+                     entryWithVersion("3", "v2")},
+                    Now);
+  for (int Program = 0; Program < 50; ++Program)
+    BOOST_TEST(chosenEndpoint("program-" + std::to_string(Program)) != "1");
+  addRunning("2", 1);
+  addRunning("3", 1);
+  BOOST_TEST(chosenEndpoint("program-7") == "1");
+}
+
 BOOST_AUTO_TEST_CASE(MovesIfWaitingCostsMoreThanPrefilling) {
   Endpoints.replace({entry("1"), entry("2")}, Now);
   cachePromptAt("1", "program-7");
