--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -201,6 +201,9 @@
       .with("program", Context.Metadata.Program)
       .with("kind", Mapping.Name)
       .with("status", Mapping.HttpStatus)
+      .with("digest", Failure.Kind == ErrorKind::CrashesEndpoints
+                          ? Context.Digest
+                          : RequestDigest())
       .with("runs", Context.PossibleRuns)
       .with("reason", Failure.Message)
       .with("took_ms", steadyNow() - Context.Caller.requestReadAt())
