List the endpoints anew before requests are refused for want of one

After an outage of the store entries refused requests with "no endpoint is available" for up to 28 s, while the store listed all endpoints: what they believed was consistent, so nothing made them ask. An empty list, or one that has lost more than half of its endpoints at once, is now a reason for doubt: the entry lists the keys of the store anew, at most once in 1 to 1.5 s (different at each entry), and requests wait for that 0.4 s at most.

RelayRequests/WithoutAKnownEndpoint: its three cases fail with the two calls of listEndpoints() taken out.

--- a/packages/relay/include/tamarack/relay/EndpointTable.h
+++ b/packages/relay/include/tamarack/relay/EndpointTable.h
@@ -113,6 +113,8 @@
   std::size_t size() const { return Statuses.size(); }
   /// Returns the entry of \p Endpoint, or nullptr if it is not listed.
   const EndpointEntry *find(const EndpointId &Endpoint) const;
+  /// Whether any endpoint of \p Service is listed.
+  bool isListed(const ServiceId &Service) const;
   /// Returns the versions of all listed endpoints of \p Service, also of those
   /// that are shutting down.
   std::set<SoftwareVersion> versionsOf(const ServiceId &Service) const;
--- a/packages/relay/include/tamarack/relay/Relay.h
+++ b/packages/relay/include/tamarack/relay/Relay.h
@@ -48,6 +48,11 @@
   /// The memory limit of the cache of stored turns.
   std::size_t ChainCacheBytes = 16U << 20U;
   CatalogSource Configuration;
+  /// Reads the list of endpoints anew until the deadline, and passes it to
+  /// Relay::setEndpoints(). Called at most about once a second, when no
+  /// endpoint of a service is known or most of them have disappeared. May be
+  /// null.
+  std::function<Task<void>(TimePoint Deadline)> ListEndpoints;
   /// Identifies this start of the process among all processes.
   std::string ProcessId;
   CrashLimits Crashes;
--- a/packages/relay/src/EndpointTable.cpp
+++ b/packages/relay/src/EndpointTable.cpp
@@ -381,6 +381,13 @@
   return It == Statuses.end() ? nullptr : &It->second.Entry;
 }
 
+bool EndpointTable::isListed(const ServiceId &Service) const {
+  return std::any_of(Statuses.begin(), Statuses.end(),
+                     [&](const auto &Candidate) {
+                       return Candidate.second.Entry.Service == Service;
+                     });
+}
+
 std::set<SoftwareVersion>
 EndpointTable::versionsOf(const ServiceId &Service) const {
   std::set<SoftwareVersion> Result;
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -18,9 +18,12 @@
 /// probably have: a new connection leads to one of them.
 constexpr Duration RetryAfterElsewhere = std::chrono::milliseconds(50);
 
-/// How long a request without a route waits until the configuration is
-/// confirmed. The store answers within 50 ms, or 300 ms while it is slow.
-constexpr Duration CatalogConfirmTimeout = std::chrono::milliseconds(400);
+/// How long a request without a route or an endpoint waits until the store has
+/// confirmed that. It answers within 50 ms, or 300 ms while it is slow.
+constexpr Duration StoreConfirmTimeout = std::chrono::milliseconds(400);
+/// If less than one in this many endpoints is left after a change, the list is
+/// in doubt.
+constexpr std::size_t MaxShrinkDivisor = 2;
 
 /// The longest that a caller is told to wait, since limits may end any time.
 constexpr Duration MaxRetryAfter = std::chrono::seconds(2);
@@ -72,9 +75,12 @@
 }
 
 void Relay::setEndpoints(std::vector<EndpointEntry> Entries) {
+  const std::size_t Before = Inner->Endpoints.size();
   for (const std::string &Address :
        Inner->Endpoints.replace(std::move(Entries), steadyNow()))
     Inner->Pool.forget(Address);
+  if (Inner->Endpoints.size() * MaxShrinkDivisor < Before)
+    spawn(Inner->Io, Inner->listEndpoints(steadyNow() + StoreConfirmTimeout));
 }
 
 EndpointNews Relay::endpointNews() const {
@@ -150,7 +156,7 @@
   std::optional<Error> Failure = prepare(Context);
   if (!LacksCurrentRoute(Failure))
     co_return Failure;
-  const TimePoint Deadline = steadyNow() + CatalogConfirmTimeout;
+  const TimePoint Deadline = steadyNow() + StoreConfirmTimeout;
   co_await Configuration.Confirm(Deadline);
   Failure = prepare(Context);
   if (LacksCurrentRoute(Failure))
@@ -161,6 +167,27 @@
   co_return Failure;
 }
 
+Task<void> Relay::Impl::listEndpoints(TimePoint Deadline) {
+  if (!ListEndpoints)
+    co_return;
+  if (IsListing) {
+    co_await EndpointsListed.wait(Deadline);
+    co_return;
+  }
+  if (steadyNow() < NextListingAt)
+    co_return;
+  IsListing = true;
+  NextListingAt = steadyNow() + ListingInterval;
+  const std::size_t Before = Endpoints.size();
+  co_await ListEndpoints(Deadline);
+  IsListing = false;
+  LogLine("entry.endpoints_listed")
+      .with("before", Before)
+      .with("endpoints", Endpoints.size())
+      .with("catalog_age_ms", formatMillis(catalogAge()));
+  EndpointsListed.raise();
+}
+
 Task<void> Relay::Impl::serve(HttpExchange &Caller) {
   const auto Context = std::make_shared<RequestContext>(Caller);
   std::optional<Error> Failure = co_await prepareConfirmed(*Context);
@@ -169,6 +196,11 @@
     co_return;
   }
   Context->Body = std::move(Caller.request().Body);
+  if (!Endpoints.isListed(Context->Service)) {
+    const TimePoint Deadline =
+        std::min(Context->Deadline, steadyNow() + StoreConfirmTimeout);
+    co_await listEndpoints(Deadline);
+  }
   Caller.onCallerDisconnect([Context] {
     Context->CallerDisconnected = true;
     Context->abortCall();
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -115,9 +115,15 @@
       : Io(Io), Wire(Wire), Ledgers(Ledgers), Pool(Pool), Metrics(Metrics),
         Endpoints(Options.Endpoints), Chains(Options.ChainCacheBytes),
         Configuration(std::move(Options.Configuration)),
-        Crashes(Options.Crashes, std::move(Options.ProcessId)),
+        ListEndpoints(std::move(Options.ListEndpoints)), EndpointsListed(Io),
+        Crashes(Options.Crashes, Options.ProcessId),
         CrashExchangeInterval(Options.CrashExchangeInterval),
-        CrashObserved(Io) {}
+        CrashObserved(Io) {
+    const auto Jitter =
+        stableHash(Options.ProcessId) %
+        static_cast<std::uint64_t>(MaxListingJitter / Duration(1));
+    ListingInterval += Duration(Jitter);
+  }
 
   Loop &Io;
   const Dialect &Wire;
@@ -128,6 +134,14 @@
   ChainCache Chains;
   Catalog ActiveCatalog;
   const CatalogSource Configuration;
+  const std::function<Task<void>(TimePoint)> ListEndpoints;
+  /// The minimum time between two listings, which differs between entries.
+  static constexpr Duration MaxListingJitter = std::chrono::milliseconds(500);
+  Duration ListingInterval = std::chrono::seconds(1);
+  TimePoint NextListingAt;
+  bool IsListing = false;
+  /// Raised at the end of a listing.
+  Signal EndpointsListed;
   CrashRecords Crashes;
   const Duration CrashExchangeInterval;
   /// Raised when an endpoint crashed.
@@ -153,6 +167,8 @@
   prepareConfirmed(internal::RequestContext &Context);
   /// The time since the configuration was confirmed; empty if it never was.
   std::optional<Duration> catalogAge() const;
+  /// Lists the endpoints anew, unless that was done a moment ago.
+  Task<void> listEndpoints(TimePoint Deadline);
   Task<void> refuseRequest(internal::RequestContext &Context, Error Failure);
   Task<void> servePlain(internal::RequestContext &Context);
   /// Sends the complete response of an endpoint to the caller.
--- a/packages/relay/test/RelayFixture.h
+++ b/packages/relay/test/RelayFixture.h
@@ -357,6 +357,7 @@
     Result.CrashExchangeInterval = 50ms;
     Result.Configuration = {[this] { return CatalogAge; }, 2500ms,
                             [this](TimePoint) { return confirmCatalog(); }};
+    Result.ListEndpoints = [this](TimePoint) { return listFromStore(); };
     return Result;
   }
 
@@ -367,6 +368,15 @@
     co_return;
   }
 
+  Task<void> listFromStore() {
+    ++EndpointListings;
+    if (OnListEndpoints)
+      OnListEndpoints();
+    co_return;
+  }
+
+  std::function<void()> OnListEndpoints;
+  int EndpointListings = 0;
   /// How old the configuration is; empty if it was never confirmed.
   std::optional<Duration> CatalogAge = Duration(0);
   /// The entry that callers use.
--- a/packages/relay/test/RelayTest.cpp
+++ b/packages/relay/test/RelayTest.cpp
@@ -345,6 +345,38 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against an entry that refuses requests because it lost endpoints that
+/// the store still lists.
+BOOST_AUTO_TEST_SUITE(WithoutAKnownEndpoint)
+
+BOOST_AUTO_TEST_CASE(AreServedIfTheStoreListsOne) {
+  setResponses({{signedResponse("hello")}});
+  listEndpoints({0});
+  OnListEndpoints = [this] { listEndpoints({1}); };
+  listEndpoints({});
+  BOOST_TEST(sendRequest("/safe/a", {{"Id", "1"}}).Body == "hello");
+  BOOST_TEST(EndpointListings == 1);
+}
+
+/// Most endpoints disappear at once: the list is in doubt before a request is.
+BOOST_AUTO_TEST_CASE(AreNotAwaitedForAnotherListing) {
+  listEndpoints({});
+  until([this] { return EndpointListings == 1; });
+  BOOST_TEST(sendRequest("/safe/a", {{"Id", "1"}}).Head.Status == 503);
+  BOOST_TEST(EndpointListings == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AreRefusedAtOnceIfTheStoreListsNone) {
+  listEndpoints({});
+  const TimePoint SentAt = steadyNow();
+  for (int Number = 0; Number < 20; ++Number)
+    BOOST_TEST(sendRequest("/safe/a", {{"Id", "1"}}).Head.Status == 503);
+  BOOST_TEST((steadyNow() - SentAt < Duration(500ms)));
+  BOOST_TEST(EndpointListings == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(AbortTheCallWhenTheCallerDisconnects) {
   setResponses({{""}}); // Accepts the request and sends no response.
   {
