Test that a required version excludes all other endpoints

Guards the filter by itself, whatever a resumption decides: the endpoint of the required version is chosen though it is busy and has just failed.

--- a/packages/relay/test/EndpointTableTest.cpp
+++ b/packages/relay/test/EndpointTableTest.cpp
@@ -221,6 +221,20 @@
   BOOST_TEST(chosenEndpoint("", {EndpointId("2")}) == "1");
 }
 
+BOOST_AUTO_TEST_CASE(SkipsOtherVersionsThanTheRequiredOne) {
+  Endpoints.replace({entryWithVersion("1", "v1"), entryWithVersion("2", "v2")},
+                    Now);
+  EndpointQuery Query;
+  Query.Service = ServiceId("llm");
+  Query.Version = SoftwareVersion("v2");
+  addRunning("2", 20);
+  Endpoints.onFailure(EndpointId("2"), Now);
+  BOOST_REQUIRE(Endpoints.choose(Query, Now));
+  BOOST_TEST(Endpoints.choose(Query, Now)->Endpoint.text() == "2");
+  Query.Version = SoftwareVersion("v3");
+  BOOST_TEST(!Endpoints.choose(Query, Now));
+}
+
 BOOST_AUTO_TEST_CASE(SkipsExcludedEndpoints) {
   Endpoints.replace({entry("1"), entry("2")}, Now);
   BOOST_TEST(chosenEndpoint("", {EndpointId("1"), EndpointId("2")}) == "none");
