--- a/packages/relay/test/OriginsTest.cpp
+++ b/packages/relay/test/OriginsTest.cpp
@@ -62,7 +62,7 @@
                                      {"Most", "100"},
                                      {"Last-Event", "2"}};
     if (!Resumed.empty())
-      Fields.push_back({"Resumes", Resumed});
+      Fields.push_back({"Continues", Resumed});
     return sendRequest("/turn/x", std::move(Fields), "in t1;");
   }
   static void checkIsRefused(const HttpResponse &Response) {
@@ -166,7 +166,7 @@
   listVersions({"v1", "v2"});
   until([this] { return Client.pendingRecords() == 0; });
   const std::vector<HttpField> Fields = {
-      {"Id", "t2"}, {"Resumes", "t1"}, {"Last-Event", "2"}};
+      {"Id", "t2"}, {"Continues", "t1"}, {"Last-Event", "2"}};
   BOOST_TEST(sendRequest("/turn/x", Fields, "in;").Head.Status == 200);
   BOOST_TEST(Endpoints[0]->Requests.size() == 2U);
 }
--- a/packages/relay/test/RelayFixture.h
+++ b/packages/relay/test/RelayFixture.h
@@ -28,7 +28,7 @@
       Result.Budget = std::stoul(text(Fields, "Budget"));
       Result.MaxTurnTokens = std::stoul(text(Fields, "Most"));
     }
-    Result.ResumedTurn = TurnId(text(Fields, "Resumes"));
+    Result.ResumedTurn = TurnId(text(Fields, "Continues"));
     if (Fields.has("Last-Event"))
       Result.LastEventId = text(Fields, "Last-Event");
     return Result;
