--- a/packages/turns/include/tamarack/turns/StreamOrigin.h
+++ b/packages/turns/include/tamarack/turns/StreamOrigin.h
@@ -14,9 +14,9 @@
 #include "tamarack/base/Clock.h"
 #include "tamarack/base/Ids.h"
 
-#include <compare>
 #include <cstdint>
 #include <optional>
+#include <tuple>
 
 namespace tamarack {
 
@@ -25,8 +25,13 @@
   ServiceId Service;
   SoftwareVersion Version;
 
-  friend std::strong_ordering operator<=>(const ServiceVersion &,
-                                          const ServiceVersion &) = default;
+  friend bool operator==(const ServiceVersion &,
+                         const ServiceVersion &) = default;
+  friend bool operator<(const ServiceVersion &Left,
+                        const ServiceVersion &Right) {
+    return std::tie(Left.Service, Left.Version) <
+           std::tie(Right.Service, Right.Version);
+  }
 };
 
 /// One process of an endpoint, whose id may come back with another version.
@@ -36,8 +41,13 @@
   std::uint64_t StartedAt = 0;
   ServiceVersion Runs;
 
-  friend std::strong_ordering operator<=>(const EndpointProcess &,
-                                          const EndpointProcess &) = default;
+  friend bool operator==(const EndpointProcess &,
+                         const EndpointProcess &) = default;
+  friend bool operator<(const EndpointProcess &Left,
+                        const EndpointProcess &Right) {
+    return std::tie(Left.Endpoint, Left.StartedAt, Left.Runs) <
+           std::tie(Right.Endpoint, Right.StartedAt, Right.Runs);
+  }
 };
 
 struct StreamOrigin {
