Review: a late second copy of a rejection makes a payment run twice

Claim: the entry takes a failure without a request id for the answer to the request in flight, also on a used connection. The late second copy of an earlier rejection ("not run") thus sends a request that is running to another replica (TWICE).

--- a/review/common/Replica.hpp
+++ b/review/common/Replica.hpp
@@ -21,8 +21,8 @@
   boost::beast::flat_buffer Buffer;
   /// The requests that were read on it.
   unsigned Requests = 0;
-  /// What the replica wrote last, if that was a rejection.
-  std::string LastRejection;
+  /// The second copy of an earlier answer, if one is still to be sent.
+  std::string Extra;
 
   Task<bool> write(std::string Text);
   void close(bool Reset);
