--- a/review/2/Case.cc
+++ b/review/2/Case.cc
@@ -1,166 +1,203 @@
-/// A replica that is full rejects a request and, as a faulty replica may, sends
-/// a second copy of that rejection late, on a connection that is in use again.
-/// The requests are payments, which may run at most once.
+/// Each of two ledgers is killed once while a turn of a chain ends, 9.5 s
+/// apart. Both come back after 2.8 s, with their disks. The newest turn of the
+/// chain is then named as the previous turn well within its retention.
 #include "Client.hpp"
 #include "Replica.hpp"
 
-#include <random>
-
 namespace tamarack::review {
 namespace {
 
-constexpr int CallersPerEntry = 15;
-/// The disruption is `garble` with `extra late`: share = 0.6, x = 0.03,
-/// for_s = 5.
-constexpr Duration FaultTime = std::chrono::seconds(5);
-constexpr double ExtraShare = 0.03;
-constexpr unsigned FaultyReplicas = 2;
-constexpr Duration WorkTime = std::chrono::milliseconds(17);
-/// Other callers take all places of the replica for a moment now and then.
-constexpr Duration FullTime = std::chrono::milliseconds(60);
-constexpr Duration FreeTime = std::chrono::milliseconds(60);
+constexpr int Lines = 6;
+/// `node_kill` on a storage machine with `power`: for_s = 2.8.
+constexpr Duration DarkTime = std::chrono::milliseconds(2800);
+/// A turn streams ten events with this pause, less than target_gap_ms.
+constexpr unsigned Events = 10;
+constexpr Duration EventGap = std::chrono::milliseconds(200);
+constexpr Duration ShortGap = std::chrono::milliseconds(20);
+/// The ledger is killed this long after the turn begins, before it ends.
+constexpr Duration KillDelay = std::chrono::milliseconds(1850);
+/// catch_up_s, after which a ledger that came back is not lost any more.
+constexpr Duration CatchUpTime = std::chrono::milliseconds(4700);
+/// From the end of the third turn to the fourth, and to the one after that. The
+/// fourth is then 38 s old; its retention is 60 s.
+constexpr Duration FourthPause = std::chrono::seconds(46);
+constexpr Duration LastPause = std::chrono::seconds(85);
+constexpr int MaxTries = 6;
+constexpr Duration RetryInterval = std::chrono::milliseconds(350);
 
-/// The state of one replica.
-struct Till {
-  bool IsFull = false;
-  bool IsFaulty = false;
-  std::mt19937_64 Random{7};
+struct Line {
+  std::string Program;
+  std::string LastTurn;
+  std::string History;
 };
 
-/// Rejects as the pages show it: "HTTP/1.1 503 Service Unavailable" with
-/// "X-Not-Executed: 1".
-std::string rejection() {
-  HttpHead Head{503, {}};
-  Head.Fields.add("X-Not-Executed", "1");
-  Head.Fields.add("Keep-Alive", "timeout=15");
-  Head.Fields.add("Content-Length", "0");
-  return encodeHead(Head);
+Call makeTurn(const Line &Of, const std::string &Program,
+              const std::string &Entry, const std::string &Id,
+              const std::string &Input) {
+  Call Result;
+  Result.Entry = Entry;
+  Result.Target = "/chat/a";
+  Result.RequestId = Id;
+  Result.Body = Input;
+  Result.Fields.add("X-Program-Id", Program);
+  Result.Fields.add("X-Session-Id", "s-" + Of.Program);
+  Result.Fields.add("X-Program-Deadline-Ms", "20000");
+  Result.Fields.add("X-Model", "m");
+  Result.Fields.add("X-Token-Budget", "4000");
+  Result.Fields.add("X-Token-Usage", "900,200");
+  Result.Fields.add("X-Prefix-Hash", "5c1e07a2:800," + Of.Program + ":100");
+  if (!Of.LastTurn.empty())
+    Result.Fields.add("X-Previous-Turn", Of.LastTurn);
+  return Result;
 }
 
-/// Sends the second copy of an earlier answer where the answer to \p Request is
-/// expected, if one is due.
-Task<bool> sendExtra(Replica &Self, Replica::Connection Link) {
-  std::string Extra = std::exchange(Link->Extra, {});
-  if (Extra.empty())
-    co_return true;
-  Self.world().record().line("extra copy from " + Self.id() + ": " +
-                             Extra.substr(0, Extra.find('\r')));
-  co_return co_await Link->write(std::move(Extra));
+Task<void> runTurn(World &Deployment, Line &Of, std::string Entry,
+                   std::string Name, int &Whole, int &Ended) {
+  const std::string Id = "t" + Name + "-" + Of.Program;
+  const std::string Input = "input " + Id + ";";
+  Call Request = makeTurn(Of, Of.Program + "." + Name, Entry, Id, Input);
+  const Reply Answer = co_await sendNew(Deployment, std::move(Request));
+  if (Answer.Status == 200 && Answer.IsWhole) {
+    Of.History += Input + eventData(Answer.Body);
+    Of.LastTurn = Id;
+    ++Whole;
+  }
+  ++Ended;
 }
 
-Task<bool> answerPayment(Replica &Self, Replica::Connection Link,
-                         HttpRequest Request, Till &State) {
-  const bool Open = co_await sendExtra(Self, Link);
-  if (!Open)
-    co_return false;
-  const bool SendsExtra =
-      State.IsFaulty &&
-      std::uniform_real_distribution<double>()(State.Random) < ExtraShare;
-  std::string Text;
-  if (State.IsFull) {
-    Self.world().record().line("reject " + Replica::requestId(Request) +
-                               " at " + Self.id());
-    Text = rejection();
-  } else {
-    Self.recordRun(Request);
-    co_await pause(Self.world().loop(), WorkTime);
-    const std::string Body = "done " + Replica::requestId(Request) + "\n";
-    HttpHead Head = Self.signedHead(200, Request);
-    Head.Fields.add("Content-Length", std::to_string(Body.size()));
-    Text = encodeHead(Head) + Body;
+/// Runs one turn of each line at the same time, and kills \p Target while they
+/// run, if it is given. Returns whether all turns were answered whole.
+Task<bool> runTurns(World &Deployment, std::vector<Line> &Of, std::string Entry,
+                    std::string Name, Node *Target) {
+  Loop &Io = Deployment.loop();
+  int Whole = 0;
+  int Ended = 0;
+  for (Line &Each : Of)
+    spawn(Io, runTurn(Deployment, Each, Entry, Name, Whole, Ended));
+  const TimePoint KillAt = steadyNow() + KillDelay;
+  if (Target != nullptr) {
+    co_await pause(Io, KillDelay);
+    Target->kill();
   }
-  if (SendsExtra)
-    Link->Extra = Text;
-  co_return co_await Link->write(std::move(Text));
+  while (Ended < Lines)
+    co_await pause(Io, std::chrono::milliseconds(10));
+  if (Target != nullptr) {
+    co_await pause(Io, KillAt + DarkTime - steadyNow());
+    Target->start(/*FirstStart=*/false);
+    co_await pause(Io, CatchUpTime);
+  }
+  co_return Whole == Lines;
 }
 
-Task<void> takePlaces(World &Deployment, Till &State, Duration Delay) {
-  co_await pause(Deployment.loop(), Delay);
-  while (true) {
-    State.IsFull = true;
-    co_await pause(Deployment.loop(), FullTime);
-    State.IsFull = false;
-    co_await pause(Deployment.loop(), FreeTime);
+/// Continues a line at \p Entry until it is served or given up.
+Task<bool> isServed(World &Deployment, Line &Of, std::string Entry) {
+  for (int Try = 0; Try < MaxTries; ++Try) {
+    const std::string Id = "n" + std::to_string(Try) + "-" + Of.Program;
+    const std::string Input = "input " + Id + ";";
+    Call Request = makeTurn(Of, Of.Program + ".n", Entry, Id, Input);
+    const Reply Answer = co_await sendNew(Deployment, std::move(Request));
+    if (Answer.Status == 404 || Answer.Status == 410)
+      co_return false;
+    if (Replica::bodies().count(Id) > 0)
+      co_return Replica::bodies()[Id] == Of.History + Input;
+    co_await pause(Deployment.loop(), RetryInterval);
   }
+  co_return false;
 }
 
-/// Sends payments until \p Deadline, one after the other.
-Task<void> pay(World &Deployment, std::string Entry, std::string Caller,
-               TimePoint Deadline, int &Running) {
-  ++Running;
-  for (int Number = 0; steadyNow() < Deadline; ++Number) {
-    Call Request;
-    Request.Entry = Entry;
-    Request.Target = "/bill/a";
-    Request.RequestId = Caller + "-" + std::to_string(Number);
-    Request.Body = "invoice " + Request.RequestId;
-    Request.Timeout = std::chrono::milliseconds(1200);
+Task<void> continueLine(World &Deployment, Line &Of, std::string Entry,
+                        int &Served, int &Ended) {
+  const bool IsServed = co_await isServed(Deployment, Of, Entry);
+  Served += IsServed ? 1 : 0;
+  ++Ended;
+}
+
+/// Returns how many first turns of new lines reach a replica.
+Task<int> countFirstTurns(World &Deployment, std::string Entry) {
+  int Result = 0;
+  for (int Number = 0; Number < Lines; ++Number) {
+    const Line New{"first" + std::to_string(Number), {}, {}};
+    const std::string Id = "f-" + New.Program;
+    Call Request = makeTurn(New, New.Program, Entry, Id, "input " + Id + ";");
     (void)co_await sendNew(Deployment, std::move(Request));
-    co_await pause(Deployment.loop(), std::chrono::milliseconds(5));
+    Result += Replica::bodies().count(Id) > 0 ? 1 : 0;
   }
-  --Running;
+  co_return Result;
 }
 
 Task<int> play(World &Deployment) {
   Loop &Io = Deployment.loop();
-  std::vector<std::unique_ptr<Till>> Tills;
-  std::vector<std::unique_ptr<Replica>> Replicas;
+  Replica::Handler Stream = [](Replica &Self, Replica::Connection Link,
+                               HttpRequest Request) {
+    // Turns that a ledger is killed under take two seconds.
+    const std::string Name = Replica::requestId(Request).substr(0, 3);
+    const bool IsLong = Name == "t2-" || Name == "t3-";
+    return answerStream(Self, Link, std::move(Request), Events,
+                        IsLong ? EventGap : ShortGap);
+  };
+  std::vector<std::unique_ptr<Replica>> Engines;
   const char *const Zones[] = {"cluj-a", "iasi-a", "buc-a"};
+  std::vector<Node *> Entries;
+  std::vector<Node *> Ledgers;
   for (unsigned Number = 1; Number <= 3; ++Number) {
-    Tills.push_back(std::make_unique<Till>());
-    Till &State = *Tills.back();
-    Replicas.push_back(std::make_unique<Replica>(
+    const char *Zone = Zones[Number - 1];
+    Engines.push_back(std::make_unique<Replica>(
         Deployment,
-        Replica::Options{"f-" + std::to_string(Number), "field-ops",
-                         Zones[Number - 1], Deployment.endpointAddress(Number),
-                         6},
-        [&State](Replica &Self, Replica::Connection Link, HttpRequest Request) {
-          return answerPayment(Self, Link, std::move(Request), State);
-        }));
-    if (!Replicas.back()->start("v1"))
-      co_return 2;
-  }
-  std::vector<Node *> Entries;
-  for (const char *Zone : Zones) {
+        Replica::Options{"i-" + std::to_string(Number), "models", Zone,
+                         Deployment.endpointAddress(Number)},
+        Stream));
     Entries.push_back(&Deployment.addEntry(Zone));
-    if (!Deployment.addLedger(Zone).start(/*FirstStart=*/true) ||
+    Ledgers.push_back(&Deployment.addLedger(Zone));
+    if (!Engines.back()->start("v1") ||
+        !Ledgers.back()->start(/*FirstStart=*/true) ||
         !Entries.back()->start(/*FirstStart=*/true))
       co_return 2;
   }
   const bool Ready = co_await Deployment.awaitReady(std::chrono::seconds(15));
   if (!Ready)
     co_return 2;
-  for (unsigned Index = 0; Index < Tills.size(); ++Index) {
-    spawn(Io,
-          takePlaces(Deployment, *Tills[Index], 40 * Index * FullTime / 60));
-    Tills[Index]->IsFaulty = World::hasTrouble() && Index < FaultyReplicas;
-  }
-  int Running = 0;
-  const TimePoint Deadline = steadyNow() + FaultTime;
-  for (const Node *Entry : Entries)
-    for (int Number = 0; Number < CallersPerEntry; ++Number) {
-      const std::string Caller = Entry->name() + "-" + std::to_string(Number);
-      spawn(Io, pay(Deployment, Deployment.callerAddress(*Entry), Caller,
-                    Deadline, Running));
-    }
-  co_await pause(Io, FaultTime);
-  for (const auto &State : Tills)
-    State->IsFaulty = false;
-  while (Running > 0)
+  std::vector<Line> Of(Lines);
+  for (int Number = 0; Number < Lines; ++Number)
+    Of[Number].Program = "p" + std::to_string(Number);
+  const std::string First = Deployment.callerAddress(*Entries[0]);
+  const std::string Second = Deployment.callerAddress(*Entries[1]);
+  const bool HasTrouble = World::hasTrouble();
+
+  bool Answered =
+      co_await runTurns(Deployment, Of, First, "1", /*Target=*/nullptr);
+  if (!Answered)
+    co_return 2;
+  Answered = co_await runTurns(Deployment, Of, First, "2",
+                               HasTrouble ? Ledgers[0] : nullptr);
+  if (!Answered)
+    co_return 2;
+  const TimePoint ThirdBegan = steadyNow();
+  Answered = co_await runTurns(Deployment, Of, First, "3",
+                               HasTrouble ? Ledgers[1] : nullptr);
+  if (!Answered)
+    co_return 2;
+  co_await pause(Io, ThirdBegan + FourthPause - steadyNow());
+  Answered = co_await runTurns(Deployment, Of, First, "4", /*Target=*/nullptr);
+  if (!Answered)
+    co_return 2;
+  co_await pause(Io, ThirdBegan + LastPause + DarkTime - steadyNow());
+
+  // The lines come in through the other zone of the region from now on.
+  int Served = 0;
+  int Ended = 0;
+  for (Line &Each : Of)
+    spawn(Io, continueLine(Deployment, Each, Second, Served, Ended));
+  while (Ended < Lines)
     co_await pause(Io, std::chrono::milliseconds(50));
-  int Twice = 0;
-  for (const auto &[Id, Count] : Replica::runs())
-    if (Count > 1) {
-      ++Twice;
-      Deployment.record().line("payment " + Id + " ran " +
-                               std::to_string(Count) + " times");
-    }
-  Deployment.record().line(std::to_string(Twice) + " of " +
-                           std::to_string(Replica::runs().size()) +
-                           " payments ran more than once");
-  if (Replica::runs().size() < 100)
+  const int Lost = Lines - Served;
+  const int FirstTurns = co_await countFirstTurns(Deployment, Second);
+  Deployment.record().line(
+      std::to_string(Lost) + " of " + std::to_string(Lines) +
+      " lines are lost; " + std::to_string(FirstTurns) + " of " +
+      std::to_string(Lines) + " first turns reach a replica");
+  if (FirstTurns < Lines)
     co_return 2;
-  co_return Twice > 0 ? 1 : 0;
+  co_return Lost > 0 ? 1 : 0;
 }
 
 } // namespace
@@ -171,11 +208,15 @@
   review::WorldOptions Options;
   Options.Zones = {
       {"cluj-a", "ro-nord"}, {"iasi-a", "ro-nord"}, {"buc-a", "ro-sud"}};
-  Options.Routes =
-      Json::array({review::makeRoute("/bill/", "unsafe", "field-ops", 1200)});
-  Options.Services = Json::array({{{"name", "field-ops"},
-                                   {"health_path", "/healthz"},
-                                   {"max_connections", 110}}});
+  Json Chat = review::makeRoute("/chat/", "streaming", "models", 4000);
+  Chat["retained"] = true;
+  Options.Routes = Json::array({Chat});
+  Options.Services = Json::array(
+      {{{"name", "models"},
+        {"health_path", "/healthz"},
+        {"max_connections", 240},
+        {"engine",
+         {{"slots", 32}, {"kv_capacity", 783000}, {"chunk_tokens", 19}}}}});
   return review::runCase(
       ArgumentCount, Arguments, Options,
       [](review::World &Deployment) { return review::play(Deployment); });
--- a/review/3/Case.cc
+++ b/review/3/Case.cc
@@ -1,203 +1,165 @@
-/// Each of two ledgers is killed once while a turn of a chain ends, 9.5 s
-/// apart. Both come back after 2.8 s, with their disks. The newest turn of the
-/// chain is then named as the previous turn well within its retention.
+/// While the platform's store is down, a replica starts again under its id at
+/// another version of its software, streams, and crashes. Callers take up the
+/// broken streams.
 #include "Client.hpp"
 #include "Replica.hpp"
 
 namespace tamarack::review {
 namespace {
 
-constexpr int Lines = 6;
-/// `node_kill` on a storage machine with `power`: for_s = 2.8.
-constexpr Duration DarkTime = std::chrono::milliseconds(2800);
-/// A turn streams ten events with this pause, less than target_gap_ms.
-constexpr unsigned Events = 10;
-constexpr Duration EventGap = std::chrono::milliseconds(200);
-constexpr Duration ShortGap = std::chrono::milliseconds(20);
-/// The ledger is killed this long after the turn begins, before it ends.
-constexpr Duration KillDelay = std::chrono::milliseconds(1850);
-/// catch_up_s, after which a ledger that came back is not lost any more.
-constexpr Duration CatchUpTime = std::chrono::milliseconds(4700);
-/// From the end of the third turn to the fourth, and to the one after that. The
-/// fourth is then 38 s old; its retention is 60 s.
-constexpr Duration FourthPause = std::chrono::seconds(46);
-constexpr Duration LastPause = std::chrono::seconds(85);
-constexpr int MaxTries = 6;
-constexpr Duration RetryInterval = std::chrono::milliseconds(350);
+constexpr int Streams = 60;
+constexpr Duration StreamInterval = std::chrono::milliseconds(15);
+constexpr unsigned Events = 20;
+constexpr Duration EventGap = std::chrono::milliseconds(150);
+/// `platform_down`: for_s = 4.5.
+constexpr Duration OutageTime = std::chrono::milliseconds(4500);
+/// From the beginning of the outage.
+constexpr Duration RestartDelay = std::chrono::milliseconds(600);
+constexpr Duration RestartTime = std::chrono::milliseconds(200);
+constexpr Duration StreamDelay = std::chrono::milliseconds(1000);
+constexpr Duration CrashDelay = std::chrono::milliseconds(2200);
+constexpr int MaxResumptions = 2;
+constexpr Duration ResumeInterval = std::chrono::milliseconds(100);
 
-struct Line {
-  std::string Program;
-  std::string LastTurn;
-  std::string History;
+struct Stream {
+  std::string Body;
+  int Resumptions = 0;
 };
 
-Call makeTurn(const Line &Of, const std::string &Program,
-              const std::string &Entry, const std::string &Id,
-              const std::string &Input) {
-  Call Result;
-  Result.Entry = Entry;
-  Result.Target = "/chat/a";
-  Result.RequestId = Id;
-  Result.Body = Input;
-  Result.Fields.add("X-Program-Id", Program);
-  Result.Fields.add("X-Session-Id", "s-" + Of.Program);
-  Result.Fields.add("X-Program-Deadline-Ms", "20000");
-  Result.Fields.add("X-Model", "m");
-  Result.Fields.add("X-Token-Budget", "4000");
-  Result.Fields.add("X-Token-Usage", "900,200");
-  Result.Fields.add("X-Prefix-Hash", "5c1e07a2:800," + Of.Program + ":100");
-  if (!Of.LastTurn.empty())
-    Result.Fields.add("X-Previous-Turn", Of.LastTurn);
+/// The versions that the events of a stream name.
+std::set<std::string> versionsIn(const std::string &Body) {
+  std::set<std::string> Result;
+  for (std::size_t At = Body.find('@'); At != std::string::npos;
+       At = Body.find('@', At + 1))
+    Result.insert(Body.substr(At + 1, Body.find('\n', At) - At - 1));
   return Result;
 }
 
-Task<void> runTurn(World &Deployment, Line &Of, std::string Entry,
-                   std::string Name, int &Whole, int &Ended) {
-  const std::string Id = "t" + Name + "-" + Of.Program;
-  const std::string Input = "input " + Id + ";";
-  Call Request = makeTurn(Of, Of.Program + "." + Name, Entry, Id, Input);
-  const Reply Answer = co_await sendNew(Deployment, std::move(Request));
-  if (Answer.Status == 200 && Answer.IsWhole) {
-    Of.History += Input + eventData(Answer.Body);
-    Of.LastTurn = Id;
-    ++Whole;
-  }
-  ++Ended;
+/// Cuts an event off that did not arrive whole.
+std::string wholeEvents(const std::string &Body) {
+  const std::size_t End = Body.rfind("\n\n");
+  return End == std::string::npos ? std::string() : Body.substr(0, End + 2);
 }
 
-/// Runs one turn of each line at the same time, and kills \p Target while they
-/// run, if it is given. Returns whether all turns were answered whole.
-Task<bool> runTurns(World &Deployment, std::vector<Line> &Of, std::string Entry,
-                    std::string Name, Node *Target) {
-  Loop &Io = Deployment.loop();
-  int Whole = 0;
-  int Ended = 0;
-  for (Line &Each : Of)
-    spawn(Io, runTurn(Deployment, Each, Entry, Name, Whole, Ended));
-  const TimePoint KillAt = steadyNow() + KillDelay;
-  if (Target != nullptr) {
-    co_await pause(Io, KillDelay);
-    Target->kill();
-  }
-  while (Ended < Lines)
-    co_await pause(Io, std::chrono::milliseconds(10));
-  if (Target != nullptr) {
-    co_await pause(Io, KillAt + DarkTime - steadyNow());
-    Target->start(/*FirstStart=*/false);
-    co_await pause(Io, CatchUpTime);
-  }
-  co_return Whole == Lines;
-}
-
-/// Continues a line at \p Entry until it is served or given up.
-Task<bool> isServed(World &Deployment, Line &Of, std::string Entry) {
-  for (int Try = 0; Try < MaxTries; ++Try) {
-    const std::string Id = "n" + std::to_string(Try) + "-" + Of.Program;
-    const std::string Input = "input " + Id + ";";
-    Call Request = makeTurn(Of, Of.Program + ".n", Entry, Id, Input);
+Task<void> readStream(World &Deployment, std::vector<std::string> Entries,
+                      int Number, Stream &Of, int &Ended) {
+  const std::string Program = "p" + std::to_string(Number);
+  const std::string FirstId = "s" + std::to_string(Number);
+  bool IsWhole = false;
+  for (int Try = 0; Try <= MaxResumptions && !IsWhole; ++Try) {
+    Call Request;
+    Request.Entry = Entries[static_cast<std::size_t>(Try) % Entries.size()];
+    Request.Target = "/plan/a";
+    Request.RequestId =
+        Try == 0 ? FirstId : FirstId + ".r" + std::to_string(Try);
+    Request.Body = "prompt of " + Program;
+    Request.Fields.add("X-Program-Id", Program);
+    Request.Fields.add("X-Session-Id", "s-" + Program);
+    Request.Fields.add("X-Model", "m");
+    Request.Fields.add("X-Token-Budget", "4000");
+    Request.Fields.add("X-Token-Usage", "900,380");
+    Request.Fields.add("X-Prefix-Hash", "5c1e07a2:800," + Program + ":100");
+    if (Try > 0) {
+      if (Of.Body.empty())
+        break;
+      ++Of.Resumptions;
+      Request.Fields.add("Last-Event-Id", std::to_string(eventCount(Of.Body)));
+      Request.Fields.add("Resumes", FirstId);
+      co_await pause(Deployment.loop(), ResumeInterval);
+    }
     const Reply Answer = co_await sendNew(Deployment, std::move(Request));
-    if (Answer.Status == 404 || Answer.Status == 410)
-      co_return false;
-    if (Replica::bodies().count(Id) > 0)
-      co_return Replica::bodies()[Id] == Of.History + Input;
-    co_await pause(Deployment.loop(), RetryInterval);
+    if (Answer.Status != 200)
+      continue;
+    Of.Body += wholeEvents(Answer.Body);
+    IsWhole = Answer.IsWhole;
   }
-  co_return false;
-}
-
-Task<void> continueLine(World &Deployment, Line &Of, std::string Entry,
-                        int &Served, int &Ended) {
-  const bool IsServed = co_await isServed(Deployment, Of, Entry);
-  Served += IsServed ? 1 : 0;
   ++Ended;
 }
 
-/// Returns how many first turns of new lines reach a replica.
-Task<int> countFirstTurns(World &Deployment, std::string Entry) {
-  int Result = 0;
-  for (int Number = 0; Number < Lines; ++Number) {
-    const Line New{"first" + std::to_string(Number), {}, {}};
-    const std::string Id = "f-" + New.Program;
-    Call Request = makeTurn(New, New.Program, Entry, Id, "input " + Id + ";");
-    (void)co_await sendNew(Deployment, std::move(Request));
-    Result += Replica::bodies().count(Id) > 0 ? 1 : 0;
-  }
-  co_return Result;
-}
-
 Task<int> play(World &Deployment) {
   Loop &Io = Deployment.loop();
-  Replica::Handler Stream = [](Replica &Self, Replica::Connection Link,
+  Replica::Handler Answer = [](Replica &Self, Replica::Connection Link,
                                HttpRequest Request) {
-    // Turns that a ledger is killed under take two seconds.
-    const std::string Name = Replica::requestId(Request).substr(0, 3);
-    const bool IsLong = Name == "t2-" || Name == "t3-";
-    return answerStream(Self, Link, std::move(Request), Events,
-                        IsLong ? EventGap : ShortGap);
+    return answerStream(Self, Link, std::move(Request), Events, EventGap);
   };
-  std::vector<std::unique_ptr<Replica>> Engines;
   const char *const Zones[] = {"cluj-a", "iasi-a", "buc-a"};
-  std::vector<Node *> Entries;
-  std::vector<Node *> Ledgers;
-  for (unsigned Number = 1; Number <= 3; ++Number) {
-    const char *Zone = Zones[Number - 1];
+  std::vector<std::unique_ptr<Replica>> Engines;
+  for (unsigned Number = 1; Number <= 4; ++Number) {
     Engines.push_back(std::make_unique<Replica>(
         Deployment,
-        Replica::Options{"i-" + std::to_string(Number), "models", Zone,
+        Replica::Options{"i-" + std::to_string(Number), "models",
+                         Zones[(Number - 1) % 2],
                          Deployment.endpointAddress(Number)},
-        Stream));
-    Entries.push_back(&Deployment.addEntry(Zone));
-    Ledgers.push_back(&Deployment.addLedger(Zone));
-    if (!Engines.back()->start("v1") ||
-        !Ledgers.back()->start(/*FirstStart=*/true) ||
-        !Entries.back()->start(/*FirstStart=*/true))
+        Answer));
+    if (!Engines.back()->start("v1"))
+      co_return 2;
+  }
+  std::vector<std::string> Entries;
+  for (const char *Zone : Zones) {
+    Node &Entry = Deployment.addEntry(Zone);
+    if (!Deployment.addLedger(Zone).start(/*FirstStart=*/true) ||
+        !Entry.start(/*FirstStart=*/true))
       co_return 2;
+    Entries.push_back(Deployment.callerAddress(Entry));
   }
+  Entries.pop_back(); // Callers are in the other two zones.
   const bool Ready = co_await Deployment.awaitReady(std::chrono::seconds(15));
   if (!Ready)
     co_return 2;
-  std::vector<Line> Of(Lines);
-  for (int Number = 0; Number < Lines; ++Number)
-    Of[Number].Program = "p" + std::to_string(Number);
-  const std::string First = Deployment.callerAddress(*Entries[0]);
-  const std::string Second = Deployment.callerAddress(*Entries[1]);
-  const bool HasTrouble = World::hasTrouble();
+  co_await pause(Io, std::chrono::seconds(2));
 
-  bool Answered =
-      co_await runTurns(Deployment, Of, First, "1", /*Target=*/nullptr);
-  if (!Answered)
-    co_return 2;
-  Answered = co_await runTurns(Deployment, Of, First, "2",
-                               HasTrouble ? Ledgers[0] : nullptr);
-  if (!Answered)
-    co_return 2;
-  const TimePoint ThirdBegan = steadyNow();
-  Answered = co_await runTurns(Deployment, Of, First, "3",
-                               HasTrouble ? Ledgers[1] : nullptr);
-  if (!Answered)
-    co_return 2;
-  co_await pause(Io, ThirdBegan + FourthPause - steadyNow());
-  Answered = co_await runTurns(Deployment, Of, First, "4", /*Target=*/nullptr);
-  if (!Answered)
+  const TimePoint Begun = steadyNow();
+  if (World::hasTrouble()) {
+    Deployment.record().line("the store is down");
+    Deployment.store().setFault(soak::StoreFault::Busy);
+  }
+  co_await pause(Io, RestartDelay);
+  Replica &Upgraded = *Engines.front();
+  Upgraded.stop();
+  co_await pause(Io, RestartTime);
+  if (!Upgraded.startUnregistered("v2"))
     co_return 2;
-  co_await pause(Io, ThirdBegan + LastPause + DarkTime - steadyNow());
-
-  // The lines come in through the other zone of the region from now on.
-  int Served = 0;
+  if (!World::hasTrouble())
+    Upgraded.publish("ready");
+  co_await pause(Io, Begun + StreamDelay - steadyNow());
+  if (!World::hasTrouble())
+    co_await pause(Io, std::chrono::seconds(2));
+  std::vector<Stream> Of(Streams);
   int Ended = 0;
-  for (Line &Each : Of)
-    spawn(Io, continueLine(Deployment, Each, Second, Served, Ended));
-  while (Ended < Lines)
+  const TimePoint StreamsBegun = steadyNow();
+  for (int Number = 0; Number < Streams; ++Number) {
+    spawn(Io, readStream(Deployment, Entries, Number, Of[Number], Ended));
+    co_await pause(Io, StreamInterval);
+  }
+  co_await pause(Io, StreamsBegun + (CrashDelay - StreamDelay) - steadyNow());
+  Upgraded.stop();
+  co_await pause(Io, Begun + OutageTime - steadyNow());
+  if (World::hasTrouble()) {
+    Deployment.store().setFault(soak::StoreFault::None);
+    Deployment.record().line("the store is back");
+  }
+  while (Ended < Streams)
     co_await pause(Io, std::chrono::milliseconds(50));
-  const int Lost = Lines - Served;
-  const int FirstTurns = co_await countFirstTurns(Deployment, Second);
+
+  int Joined = 0;
+  int Resumed = 0;
+  for (int Number = 0; Number < Streams; ++Number) {
+    const Stream &Each = Of[Number];
+    Resumed += Each.Resumptions > 0 ? 1 : 0;
+    if (versionsIn(Each.Body).size() < 2)
+      continue;
+    ++Joined;
+    Deployment.record().line(
+        "stream s" + std::to_string(Number) +
+        " holds events of two versions: " + eventData(Each.Body).substr(0, 60));
+  }
   Deployment.record().line(
-      std::to_string(Lost) + " of " + std::to_string(Lines) +
-      " lines are lost; " + std::to_string(FirstTurns) + " of " +
-      std::to_string(Lines) + " first turns reach a replica");
-  if (FirstTurns < Lines)
+      std::to_string(Resumed) + " of " + std::to_string(Streams) +
+      " streams were taken up again; " + std::to_string(Joined) +
+      " hold events of two versions");
+  if (World::hasTrouble() && Resumed < 3)
     co_return 2;
-  co_return Lost > 0 ? 1 : 0;
+  co_return Joined > 2 ? 1 : 0;
 }
 
 } // namespace
@@ -208,9 +170,9 @@
   review::WorldOptions Options;
   Options.Zones = {
       {"cluj-a", "ro-nord"}, {"iasi-a", "ro-nord"}, {"buc-a", "ro-sud"}};
-  Json Chat = review::makeRoute("/chat/", "streaming", "models", 4000);
-  Chat["retained"] = true;
-  Options.Routes = Json::array({Chat});
+  Json Plan = review::makeRoute("/plan/", "streaming", "models", 4000);
+  Plan["resumable"] = true;
+  Options.Routes = Json::array({Plan});
   Options.Services = Json::array(
       {{{"name", "models"},
         {"health_path", "/healthz"},
