Review: a ledger joins without records while another retires

Claim: a ledger that was started with the whole system joins as a member without fetching anything, however late. If a member retires while two others are dark, the majority of the next view may lack what the retiring one has not handed over, and programs get their budgets a second time (BUDGET).

--- a/review/common/World.hpp
+++ b/review/common/World.hpp
@@ -68,6 +68,8 @@
   /// The routes and services of the configuration.
   Json Routes;
   Json Services;
+  /// fault_tolerance.machines.
+  unsigned ToleratedLosses = 1;
 };
 
 class World {
