Review: the scripts read TROUBLE themselves

Claim: run.sh of each case reads TROUBLE and tells the program which mode to play; before, only the program read it from the environment.

--- a/review/common/World.cc
+++ b/review/common/World.cc
@@ -4,7 +4,6 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <cstring>
 #include <fcntl.h>
 #include <fstream>
 #include <sys/prctl.h>
@@ -33,6 +32,8 @@
 /// A case must end within 120 s.
 constexpr unsigned MaxSeconds = 117;
 const char *const Program = "target/bin/tamarack-node";
+/// Set by runCase().
+bool PlaysTrouble = true;
 
 } // namespace
 
@@ -123,10 +124,7 @@
   return false;
 }
 
-bool World::hasTrouble() {
-  const char *Text = std::getenv("TROUBLE");
-  return Text == nullptr || std::strcmp(Text, "0") != 0;
-}
+bool World::hasTrouble() { return PlaysTrouble; }
 
 World::World(Loop &Io, RecordFile &Record, WorldOptions Options)
     : Io(Io), Record(Record), Options(std::move(Options)) {
@@ -310,13 +308,19 @@
 
 int runCase(int ArgumentCount, char **Arguments, WorldOptions Options,
             std::function<Task<int>(World &)> Play) {
-  if (ArgumentCount < 2 || !fs::exists(Program)) {
-    std::fprintf(stderr, "needs the path of the record, and %s\n", Program);
+  const std::string Mode = ArgumentCount < 3 ? "" : Arguments[2];
+  if ((Mode != "trouble" && Mode != "calm") || !fs::exists(Program)) {
+    std::fprintf(stderr,
+                 "needs the path of the record, \"trouble\" or \"calm\", and "
+                 "%s\n",
+                 Program);
     return 2;
   }
+  PlaysTrouble = Mode == "trouble";
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   std::signal(SIGPIPE, SIG_IGN);
   RecordFile Record(Arguments[1]);
+  Record.line("mode " + Mode);
   int Result = 2;
   {
     Loop Io(1);
