Keep the disks of replaced members as sources until their successors joined

No disk was lost.

Cause: the number of members that a joining ledger must fetch from was cut down to the number of members that happened to be joined. While the replacement of the first member was still fetching, a second standby ledger could replace the second one and both fetched from the third alone. The replaced members came back with their disks and found the view complete.

Ruled out: the journals of the two (they had the turns), the retention (the turns were 26 s old of 60), the caches of entries (another entry asked).

Now a member that has not joined names the predecessor whose place it takes. The predecessor counts as a holder of records: it is needed and may be fetched from, and it takes its place again at once if it comes back first. Only folders that are known to be lost reduce the number of sources. Any members - copies + 1 holders have every acknowledged record, as before the replacement.

requiredSources() counts the holders itself, so ViewTest calls it without their number; what it checks is the same.

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -115,12 +115,13 @@
     std::set<FolderId> Lost;
   };
   const auto State = std::make_shared<PingState>();
-  for (const ViewMember &Member : CurrentView.Members) {
-    State->Unanswered.insert(Member.Folder);
-    linkTo(Member.Address)
+  const std::vector<RecordHolder> Asked = listedLedgers(CurrentView);
+  for (const RecordHolder &Ledger : Asked) {
+    State->Unanswered.insert(Ledger.Folder);
+    linkTo(Ledger.Address)
         ->call(calls::Ping, encodeBody(nullptr), steadyNow() + SuspectTimeout,
                [Self = shared_from_this(), State,
-                Folder = Member.Folder](const Expected<Json> &Answer) {
+                Folder = Ledger.Folder](const Expected<Json> &Answer) {
                  const std::optional<PingResponse> Ping = parsePing(Answer);
                  if (!Ping)
                    return;
@@ -135,17 +136,17 @@
   while (!State->Unanswered.empty() && steadyNow() < Until)
     co_await pause(Io, std::chrono::milliseconds(20));
   const TimePoint Now = steadyNow();
-  for (const ViewMember &Member : CurrentView.Members) {
-    const bool IsUnresponsive = State->Unanswered.count(Member.Folder) > 0 &&
-                                linkTo(Member.Address)->isConnected();
+  for (const RecordHolder &Ledger : Asked) {
+    const bool IsUnresponsive = State->Unanswered.count(Ledger.Folder) > 0 &&
+                                linkTo(Ledger.Address)->isConnected();
     if (!IsUnresponsive) {
-      UnresponsiveSince.erase(Member.Folder);
+      UnresponsiveSince.erase(Ledger.Folder);
       continue;
     }
     const TimePoint Since =
-        UnresponsiveSince.emplace(Member.Folder, Now).first->second;
+        UnresponsiveSince.emplace(Ledger.Folder, Now).first->second;
     if (Now - Since < SuspectConnectedTimeout)
-      State->Unanswered.erase(Member.Folder);
+      State->Unanswered.erase(Ledger.Folder);
   }
   Result = State->Unanswered;
   Result.insert(State->Lost.begin(), State->Lost.end());
@@ -214,22 +215,25 @@
   co_return Done &&*Done;
 }
 
-Task<bool> LedgerNode::Impl::fetchFromSources(View Of) {
-  std::vector<ViewMember> Sources;
-  std::copy_if(Of.Members.begin(), Of.Members.end(),
-               std::back_inserter(Sources), [this](const ViewMember &Member) {
-                 return Member.Joined && Member.Folder != Log->folderId();
-               });
+std::vector<RecordHolder> LedgerNode::Impl::otherHolders(const View &Of) const {
+  std::vector<RecordHolder> Result = recordHolders(Of);
+  std::erase_if(Result, [this](const RecordHolder &Holder) {
+    return Holder.Folder == Log->folderId();
+  });
   if (Options.Distance)
-    std::stable_sort(Sources.begin(), Sources.end(),
-                     [this](const ViewMember &Left, const ViewMember &Right) {
-                       return Options.Distance(Left.DataCentre) <
-                              Options.Distance(Right.DataCentre);
-                     });
-  const std::size_t Needed =
-      requiredSources(Of, Options.DurableCopies, Sources.size());
+    std::stable_sort(
+        Result.begin(), Result.end(),
+        [this](const RecordHolder &Left, const RecordHolder &Right) {
+          return Options.Distance(Left.DataCentre) <
+                 Options.Distance(Right.DataCentre);
+        });
+  return Result;
+}
+
+Task<bool> LedgerNode::Impl::fetchFromSources(View Of) {
+  const std::size_t Needed = requiredSources(Of, Options.DurableCopies);
   std::size_t Complete = 0;
-  for (const ViewMember &Source : Sources) {
+  for (const RecordHolder &Source : otherHolders(Of)) {
     if (Complete == Needed || CurrentView.Number != Of.Number)
       break;
     RecordSource From{Source.Address, Source.Folder};
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -115,7 +115,9 @@
   /// Fetches the records of other members, then marks this member as joined.
   Task<void> fetchRecordsAndJoin();
   Task<std::set<FolderId>> findUnreachableMembers();
-  /// Fetches the records of enough joined members of \p Of to have every stored
+  /// Returns the record holders of \p Of but this ledger, nearest first.
+  std::vector<RecordHolder> otherHolders(const View &Of) const;
+  /// Fetches the records of enough record holders of \p Of to have every stored
   /// record. Returns false if it failed or the view changed.
   Task<bool> fetchFromSources(View Of);
   /// Fetches all records that \p Source has and this one lacks. Returns whether
--- a/packages/quorum/test/QuorumFixture.h
+++ b/packages/quorum/test/QuorumFixture.h
@@ -88,6 +88,14 @@
     });
   }
 
+  /// Returns the folder of a member of the current view.
+  FolderId folderOf(int Number) const {
+    for (const ViewMember &Member : Views.Current.Members)
+      if (Member.Instance == options(Number, /*FirstStart=*/false).Instance)
+        return Member.Folder;
+    return {};
+  }
+
   /// Returns the numbers of the ledgers that store the text of a turn.
   std::vector<int> ledgersWithText() const {
     std::vector<int> Result;
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -248,6 +248,35 @@
   BOOST_TEST(chain("a") == "in a, out a; ");
 }
 
+/// Two standby ledgers take the places of two members that are down at the same
+/// time, and fetch from the third one only. What the two had stored is then on
+/// no member, although both come back with their disks.
+BOOST_FIXTURE_TEST_CASE(WhenTwoMembersAreDownWhileTwoLedgersStandBy,
+                        QuorumFixture) {
+  startAll();
+  useCurrentView();
+  BOOST_REQUIRE(storeRecord(turn("a")));
+  const std::vector<int> Holders = ledgersWithText();
+  BOOST_REQUIRE(Holders.size() == 2U);
+  stop(Holders[0]);
+  stop(Holders[1]);
+  // The first standby ledger is a member and has not fetched anything yet.
+  const ViewMember Fourth{
+      FolderId("folder-4-" + std::to_string(StartCount + 1)),
+      InstanceId("ledger-4"), DataCentreId("dc-4"),
+      options(4, /*FirstStart=*/false).Address};
+  Views.Current =
+      *planJoin(Views.Current, Fourth, {folderOf(Holders[0])}, {3, 2}).Next;
+  start(4);
+  start(5);
+  Io.run_for(4s);
+  start(Holders[0]);
+  start(Holders[1]);
+  Io.run_for(3s);
+  useCurrentView();
+  BOOST_TEST(chain("a") == "in a, out a; ");
+}
+
 BOOST_FIXTURE_TEST_CASE(WhenAMemberRetiresAndAnotherLosesItsDisk,
                         QuorumFixture) {
   startAll();
--- a/packages/turns/include/tamarack/turns/View.h
+++ b/packages/turns/include/tamarack/turns/View.h
@@ -8,10 +8,12 @@
 ///   if (Plan.Next)
 ///     ... compare-and-swap *Plan.Next ...
 ///
-/// Every change replaces or removes at most one joined member. A ledger is
-/// marked as joined only after it has fetched the records of so many joined
-/// members that every record stored under an earlier view is on at least one
-/// of them. From then on these members refuse older views.
+/// Every change replaces or removes at most one joined member. Each place of a
+/// view has a *record holder*: the joined member, or, while a new member
+/// fetches, the predecessor that it replaces. Every acknowledged record is on
+/// all but `members - required copies` of the holders, so a ledger is marked as
+/// joined once it has fetched the records of one holder more than that. From
+/// then on these holders refuse older views.
 #ifndef TAMARACK_TURNS_VIEW_H
 #define TAMARACK_TURNS_VIEW_H
 
@@ -25,6 +27,17 @@
 
 namespace tamarack {
 
+/// A ledger on whose disk records of a view are.
+struct RecordHolder {
+  FolderId Folder;
+  InstanceId Instance;
+  DataCentreId DataCentre;
+  /// The address for links, "IP:PORT".
+  std::string Address;
+
+  friend bool operator==(const RecordHolder &, const RecordHolder &) = default;
+};
+
 /// One ledger that is listed in a view.
 struct ViewMember {
   /// The identity of its data folder. A ledger with a new folder is a
@@ -38,6 +51,11 @@
   /// Only joined members accept records and
   /// answer requests for chains.
   bool Joined = false;
+  /// The ledger that held the place before, until this one has joined. Its disk
+  /// may hold the only reachable copy of a record, so it is fetched from, and
+  /// takes its place again if it comes back first. Empty if there was none or
+  /// its folder is known to be lost.
+  std::optional<RecordHolder> Predecessor = {};
 
   friend bool operator==(const ViewMember &, const ViewMember &) = default;
 };
@@ -50,6 +68,8 @@
   friend bool operator==(const View &, const View &) = default;
 };
 
+void to_json(Json &Value, const RecordHolder &Holder);
+void from_json(const Json &Value, RecordHolder &Holder);
 void to_json(Json &Value, const ViewMember &Member);
 void from_json(const Json &Value, ViewMember &Member);
 void to_json(Json &Value, const View &From);
@@ -66,11 +86,16 @@
 /// Returns how many members must store a record: a majority, and at least
 /// \p DurableCopies.
 std::size_t requiredCopies(const View &Of, std::size_t DurableCopies);
-/// Returns how many of \p Sources joined members a ledger must fetch from to be
-/// sure to get every stored record: enough that each set of required copies
-/// includes one of them, but at most \p Sources and at least one.
-std::size_t requiredSources(const View &Of, std::size_t DurableCopies,
-                            std::size_t Sources);
+/// Returns the record holders of all places: joined members, and predecessors
+/// of members that have not joined yet.
+std::vector<RecordHolder> recordHolders(const View &Of);
+/// Returns all members and all predecessors.
+std::vector<RecordHolder> listedLedgers(const View &Of);
+/// Returns how many record holders of \p Of a ledger must fetch from to be sure
+/// to get every stored record: enough that each set of required copies includes
+/// one of them. Fewer only if more folders are known to be lost than the copies
+/// allow for; at least one.
+std::size_t requiredSources(const View &Of, std::size_t DurableCopies);
 
 /// What a deployment requires of its views.
 struct ViewRules {
@@ -96,8 +121,10 @@
 };
 
 /// Plans how \p Self joins \p Current. \p Unreachable holds the folders of the
-/// members that did not answer within the suspicion timeout. At most one of
-/// them is replaced, and only if enough joined members can be fetched from.
+/// members and predecessors that did not answer within the suspicion timeout.
+/// At most one member is replaced, and only if enough record holders can be
+/// fetched from. A predecessor takes its place again at once: it is counted
+/// among the holders, so it lacks no more than they may.
 JoinPlan planJoin(const View &Current, const ViewMember &Self,
                   const std::set<FolderId> &Unreachable,
                   const ViewRules &Rules);
--- a/packages/turns/src/View.cpp
+++ b/packages/turns/src/View.cpp
@@ -22,45 +22,85 @@
   return nullptr;
 }
 
-/// Returns whether enough joined members besides \p ToReplace are reachable for
-/// a ledger to fetch all records.
-bool hasEnoughSources(const View &Current, const ViewMember *ToReplace,
-                      const std::set<FolderId> &Unreachable,
+RecordHolder holderFrom(const ViewMember &Member) {
+  return {Member.Folder, Member.Instance, Member.DataCentre, Member.Address};
+}
+
+/// Returns the holder of the records of a member's place, if there is one.
+std::optional<RecordHolder> recordHolder(const ViewMember &Member) {
+  if (Member.Joined)
+    return holderFrom(Member);
+  return Member.Predecessor;
+}
+
+/// Returns whether enough record holders of \p Of are reachable for a ledger to
+/// fetch all records.
+bool hasEnoughSources(const View &Of, const std::set<FolderId> &Unreachable,
                       std::size_t DurableCopies) {
-  std::size_t Sources = 0;
-  std::size_t Answering = 0;
-  for (const ViewMember &Member : Current.Members) {
-    if (&Member == ToReplace || !Member.Joined)
+  const std::vector<RecordHolder> Holders = recordHolders(Of);
+  const auto Answering = std::count_if(
+      Holders.begin(), Holders.end(), [&](const RecordHolder &Holder) {
+        return Unreachable.count(Holder.Folder) == 0;
+      });
+  return static_cast<std::size_t>(Answering) >=
+         requiredSources(Of, DurableCopies);
+}
+
+/// Returns the successor of \p Current in which \p Self, the predecessor of a
+/// member that has not joined, takes its place again; empty if it is none.
+std::optional<View> withPredecessorBack(const View &Current,
+                                        const ViewMember &Self) {
+  View Next = Current;
+  for (ViewMember &Member : Next.Members) {
+    if (!Member.Predecessor || Member.Predecessor->Folder != Self.Folder)
       continue;
-    ++Sources;
-    Answering += Unreachable.count(Member.Folder) == 0 ? 1 : 0;
+    Member = Self;
+    Member.Joined = true;
+    ++Next.Number;
+    return Next;
   }
-  return Answering >= requiredSources(Current, DurableCopies, Sources);
+  return std::nullopt;
 }
 
-/// Returns whether no member can hold a record any more, so that there is
-/// nothing to fetch. A joined member lost its records if Self, on the same
-/// instance, has a new folder; one that is only unreachable may still have
-/// them.
-bool noRecordsRemain(const View &Current, const ViewMember *ToReplace,
-                     const ViewMember &Self) {
-  const bool FolderLost =
-      ToReplace != nullptr && ToReplace->Instance == Self.Instance;
-  return std::none_of(Current.Members.begin(), Current.Members.end(),
-                      [&](const ViewMember &Member) {
-                        return Member.Joined &&
-                               !(FolderLost && &Member == ToReplace);
-                      });
+/// Returns the successor of \p Current without the predecessor on \p Instance,
+/// whose folder is lost; empty if there is none.
+std::optional<View> withoutLostPredecessor(const View &Current,
+                                           const InstanceId &Instance) {
+  View Next = Current;
+  for (ViewMember &Member : Next.Members) {
+    if (!Member.Predecessor || Member.Predecessor->Instance != Instance)
+      continue;
+    Member.Predecessor.reset();
+    ++Next.Number;
+    return Next;
+  }
+  return std::nullopt;
 }
 
 } // namespace
 
+void to_json(Json &Value, const RecordHolder &Holder) {
+  Value = Json{{"folder", Holder.Folder},
+               {"instance", Holder.Instance},
+               {"data_centre", Holder.DataCentre},
+               {"address", Holder.Address}};
+}
+
+void from_json(const Json &Value, RecordHolder &Holder) {
+  Value.at("folder").get_to(Holder.Folder);
+  Value.at("instance").get_to(Holder.Instance);
+  Value.at("data_centre").get_to(Holder.DataCentre);
+  Value.at("address").get_to(Holder.Address);
+}
+
 void to_json(Json &Value, const ViewMember &Member) {
   Value = Json{{"folder", Member.Folder},
                {"instance", Member.Instance},
                {"data_centre", Member.DataCentre},
                {"address", Member.Address},
                {"joined", Member.Joined}};
+  if (Member.Predecessor)
+    Value["predecessor"] = *Member.Predecessor;
 }
 
 void from_json(const Json &Value, ViewMember &Member) {
@@ -69,6 +109,10 @@
   Value.at("data_centre").get_to(Member.DataCentre);
   Value.at("address").get_to(Member.Address);
   Value.at("joined").get_to(Member.Joined);
+  Member.Predecessor.reset();
+  // Views of earlier releases have none.
+  if (const auto Found = Value.find("predecessor"); Found != Value.end())
+    Member.Predecessor = Found->get<RecordHolder>();
 }
 
 void to_json(Json &Value, const View &From) {
@@ -102,12 +146,30 @@
   return std::max(quorumSize(Of), DurableCopies);
 }
 
-std::size_t requiredSources(const View &Of, std::size_t DurableCopies,
-                            std::size_t Sources) {
+std::vector<RecordHolder> recordHolders(const View &Of) {
+  std::vector<RecordHolder> Result;
+  for (const ViewMember &Member : Of.Members)
+    if (std::optional<RecordHolder> Holder = recordHolder(Member))
+      Result.push_back(std::move(*Holder));
+  return Result;
+}
+
+std::vector<RecordHolder> listedLedgers(const View &Of) {
+  std::vector<RecordHolder> Result;
+  for (const ViewMember &Member : Of.Members) {
+    Result.push_back(holderFrom(Member));
+    if (Member.Predecessor)
+      Result.push_back(*Member.Predecessor);
+  }
+  return Result;
+}
+
+std::size_t requiredSources(const View &Of, std::size_t DurableCopies) {
   const std::size_t Members = Of.Members.size();
   const std::size_t Copies =
       std::min(Members, requiredCopies(Of, DurableCopies));
-  return std::max<std::size_t>(1, std::min(Sources, Members - Copies + 1));
+  return std::max<std::size_t>(
+      1, std::min(recordHolders(Of).size(), Members - Copies + 1));
 }
 
 JoinPlan planJoin(const View &Current, const ViewMember &Self,
@@ -115,6 +177,10 @@
                   const ViewRules &Rules) {
   if (findMember(Current, Self.Folder) != nullptr)
     return {{}, {}, "already a member"};
+  if (std::optional<View> Next = withPredecessorBack(Current, Self))
+    return {std::move(Next), {}, "takes its place again"};
+  if (std::optional<View> Next = withoutLostPredecessor(Current, Self.Instance))
+    return {std::move(Next), {}, "reports the loss of its former folder"};
   const ViewMember *ToReplace = memberToReplace(Current, Self, Unreachable);
   if (ToReplace == nullptr && Current.Members.size() >= Rules.TargetMembers)
     return {{}, {}, "on standby: the view is full"};
@@ -127,20 +193,25 @@
     return {{},
             {},
             "on standby: the free places are reserved for other data centres"};
-  const bool NothingToFetch =
-      Rules.FirstStart || noRecordsRemain(Current, ToReplace, Self);
-  if (!NothingToFetch &&
-      !hasEnoughSources(Current, ToReplace, Unreachable, Rules.DurableCopies))
-    return {{}, {}, "waiting: too few joined members are reachable"};
   JoinPlan Plan;
   View Next = Current;
+  ViewMember Added = Self;
   if (ToReplace != nullptr) {
     Plan.Replaced = *ToReplace;
+    Added.Predecessor = recordHolder(*ToReplace);
+    // The folder of the same instance is lost.
+    if (Added.Predecessor && Added.Predecessor->Instance == Self.Instance)
+      Added.Predecessor.reset();
     Next = withoutMember(Current, ToReplace->Folder);
   }
   Next.Number = Current.Number + 1;
-  Next.Members.push_back(Self);
-  Next.Members.back().Joined = NothingToFetch;
+  Next.Members.push_back(Added);
+  const bool NothingToFetch = Rules.FirstStart || recordHolders(Next).empty();
+  if (NothingToFetch)
+    Next = withMemberJoined(Next, Self.Folder);
+  else if (!hasEnoughSources(Next, Unreachable, Rules.DurableCopies))
+    return {{}, {}, "waiting: too few record holders are reachable"};
+  Next.Number = Current.Number + 1;
   Plan.Next = Next;
   Plan.Reason =
       ToReplace == nullptr ? "joins at a free place" : "replaces a member";
@@ -151,8 +222,10 @@
   View Next = Current;
   Next.Number = Current.Number + 1;
   for (ViewMember &Member : Next.Members)
-    if (Member.Folder == Folder)
+    if (Member.Folder == Folder) {
       Member.Joined = true;
+      Member.Predecessor.reset();
+    }
   return Next;
 }
 
--- a/packages/turns/test/ViewTest.cpp
+++ b/packages/turns/test/ViewTest.cpp
@@ -68,7 +68,7 @@
       Members.push_back(member(std::to_string(Count)));
       const View Of = viewOf(Members);
       const std::size_t Copies = requiredCopies(Of, Durable);
-      BOOST_TEST(Copies + requiredSources(Of, Durable, Count) > Count,
+      BOOST_TEST(Copies + requiredSources(Of, Durable) > Count,
                  Count << " members, " << Durable << " copies");
     }
   }
@@ -135,6 +135,53 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// A ledger that replaced a member and has not joined yet.
+BOOST_AUTO_TEST_SUITE(WithAPredecessor)
+
+View replaced() {
+  return *planJoin(viewOf({member("1"), member("2"), member("3")}),
+                   member("4", false), {FolderA}, DefaultRules)
+              .Next;
+}
+
+BOOST_AUTO_TEST_CASE(KeepsItWhenTheFetchingLedgerIsReplacedToo) {
+  const JoinPlan Plan = planJoin(replaced(), member("5", false),
+                                 {FolderId("folder-4")}, DefaultRules);
+  BOOST_TEST(describe(Plan) == "2 3 5? ");
+  BOOST_TEST(Plan.Next->Members[2].Predecessor->Folder.text() == "folder-1");
+}
+
+BOOST_AUTO_TEST_CASE(TakesItBackAsAJoinedMember) {
+  const JoinPlan Plan =
+      planJoin(replaced(), member("1", false), {FolderB}, DefaultRules);
+  BOOST_TEST(describe(Plan) == "2 3 1 ");
+  BOOST_TEST(!Plan.Next->Members[2].Predecessor);
+}
+
+BOOST_AUTO_TEST_CASE(ForgetsItWhenItsFolderIsKnownToBeLost) {
+  ViewMember Returned = member("1", false);
+  Returned.Folder = FolderId("fresh");
+  const JoinPlan Plan = planJoin(replaced(), Returned, {}, DefaultRules);
+  BOOST_TEST(describe(Plan) == "2 3 4? ");
+  BOOST_TEST(recordHolders(*Plan.Next).size() == 2U);
+  BOOST_TEST(Plan.Next->Number == replaced().Number + 1);
+  BOOST_TEST(describe(planJoin(*Plan.Next, Returned, {}, DefaultRules)) ==
+             "none");
+}
+
+BOOST_AUTO_TEST_CASE(ForgetsItOnceTheNewMemberHasJoined) {
+  const View Joined = withMemberJoined(replaced(), FolderId("folder-4"));
+  BOOST_TEST(!Joined.Members[2].Predecessor);
+  BOOST_TEST(describe(planJoin(Joined, member("1", false), {}, DefaultRules)) ==
+             "none");
+}
+
+BOOST_AUTO_TEST_CASE(RoundTripsThroughJson) {
+  BOOST_TEST((*parseView(Json(replaced()).dump()) == replaced()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(IsUnchanged)
 
 BOOST_AUTO_TEST_CASE(WhenTheOnlyJoinedMemberDoesNotAnswer) {
@@ -163,6 +210,18 @@
                                DefaultRules)) == "none");
 }
 
+/// A ledger that replaced a member and has not fetched its records yet must not
+/// make the records of a second member look dispensable: what only these two
+/// members stored would be on no member any more.
+BOOST_AUTO_TEST_CASE(WhenAMemberFailsWhileTheReplacementOfAnotherFetches) {
+  const View Current = viewOf({member("1"), member("2"), member("3")});
+  const JoinPlan First =
+      planJoin(Current, member("4", false), {FolderA}, DefaultRules);
+  BOOST_TEST(describe(First) == "2 3 4? ");
+  BOOST_TEST(describe(planJoin(*First.Next, member("5", false),
+                               {FolderA, FolderB}, DefaultRules)) == "none");
+}
+
 BOOST_AUTO_TEST_CASE(WhileItsFreePlacesAreReservedForOtherDataCentres) {
   ViewRules Spread = FirstStartRules;
   Spread.OnePerDataCentre = true;
