Ask other ledgers before records expire, and for the turns that were missed

Cause: a ledger keeps the earlier turns of a chain by following links back from the newest one, and gets each link once. One that was down while a turn ended never learns of it, so its walk ends there and the turns before expire. Ledgers that miss turns one after the other drop the first one everywhere. Likewise a ledger that misses the newest turn drops the older ones early, and an account if it misses the later turns of its program.

Ruled out: clocks and the retention, compaction, lost texts (each of the missed turns was on two disks).

Now links may arrive in any order: a turn that a chain refers to and that is not known is remembered until its link is there. Once a second a ledger asks so many other holders for such links that one of them has every acknowledged one. Before it drops a text or an account it asks as many how long they keep it, and keeps it as long; if too few answer it drops nothing. Programs without texts stay while one of their turns connects others.

Before: turns ATurnStore/KeepsChains/WhoseTurnsArriveInAnotherOrder failed (the first text is dropped).

--- a/packages/quorum/src/LedgerCalls.cpp
+++ b/packages/quorum/src/LedgerCalls.cpp
@@ -9,6 +9,9 @@
 /// has nothing in flight.
 constexpr Duration LoadReportLifetime = std::chrono::seconds(2);
 
+/// The limit on records without text in one answer, some 20 KB.
+constexpr std::size_t LinksPerAnswer = 256;
+
 /// The limit on programs whose last endpoint is remembered; about one minute of
 /// programs on a busy day.
 constexpr std::size_t MaxRememberedPrograms = 20000;
@@ -40,6 +43,12 @@
     handleChain(Body.get<ChainRequest>(), Answer);
   } else if (Name == calls::FetchTurns) {
     handleFetchTurns(Body, Answer);
+  } else if (Name == calls::FetchLinks) {
+    handleFetchLinks(Body, Answer);
+  } else if (Name == calls::Lifetimes) {
+    Answer(Json(LifetimesResponse{
+        Log->folderId(), CurrentView.Number,
+        Store.lifetimes(Body.get<RecordNames>(), steadyNow())}));
   } else if (Name == calls::Ping) {
     Answer(Json(PingResponse{Log->folderId(), CurrentView.Number}));
   } else if (Name == calls::Crashes) {
@@ -201,6 +210,20 @@
   Answer(Json(Result));
 }
 
+void LedgerNode::Impl::handleFetchLinks(const Json &Body,
+                                        const LinkServer::Reply &Answer) {
+  FetchTurnsResponse Result;
+  for (const TurnId &Turn : Body.get<std::vector<TurnId>>())
+    for (const TurnRecord &Record : Store.linksBefore(
+             Turn,
+             LinksPerAnswer - std::min(LinksPerAnswer, Result.Frames.size()))) {
+      std::string Frame;
+      Json::to_cbor(Json(Record), Frame);
+      Result.Frames.push_back(std::move(Frame));
+    }
+  Answer(Json(Result));
+}
+
 void LedgerNode::Impl::adopt(const View &Next,
                              const DiskThread::WriteCallback &Done) {
   if (Next.Number > CurrentView.Number) {
--- a/packages/quorum/src/LedgerNode.cpp
+++ b/packages/quorum/src/LedgerNode.cpp
@@ -92,7 +92,6 @@
   const auto Self = shared_from_this();
   while (!Stopped) {
     co_await pause(Io, MaintenanceInterval);
-    Store.expire(steadyNow());
     if (BytesSinceRoll > Options.CompactAfterBytes)
       co_await compact();
   }
@@ -144,6 +143,7 @@
   Inner->Disk = std::make_unique<DiskThread>(Inner->Io, *Inner->Log);
   spawn(Inner->Io, Inner->manageMembership());
   spawn(Inner->Io, Inner->runMaintenance());
+  spawn(Inner->Io, Inner->runRetention());
   return {};
 }
 
@@ -161,6 +161,7 @@
           Inner->Store.storedTurnCount(),
           Inner->Store.programCount(),
           Inner->Store.textBytes(),
+          Inner->Store.missedTurns().size(),
           Inner->RecordsStored,
           Inner->Refused};
 }
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -96,6 +96,7 @@
   void handleChain(const ChainRequest &Request,
                    const LinkServer::Reply &Answer);
   void handleFetchTurns(const Json &Body, const LinkServer::Reply &Answer);
+  void handleFetchLinks(const Json &Body, const LinkServer::Reply &Answer);
   /// Returns the record of \p Turn in its journal encoding.
   Expected<std::string> readFrame(const TurnId &Turn);
   /// Begins to fetch all missing records from \p From and returns how far it
@@ -108,6 +109,19 @@
   /// Returns the current view if its number is above \p Number.
   std::optional<View> newerView(std::uint64_t Number) const;
 
+  // LedgerRetention.cpp: what this ledger keeps for how long.
+  /// Returns how many other record holders this one must ask to learn of every
+  /// acknowledged record; zero if it is none itself.
+  std::size_t requiredAnswers(const View &Of) const;
+  Task<void> runRetention();
+  /// Fetches the links that chains refer to and that this ledger missed.
+  Task<void> fetchMissedLinks();
+  /// Stores a record without text; returns whether it held anything new.
+  bool storeLink(const std::string &Frame);
+  /// Drops records after their retention, unless other ledgers keep them for
+  /// longer because of turns that this one missed.
+  Task<void> expireRecords();
+
   // LedgerMembership.cpp: joining and leaving the quorum.
   Task<void> manageMembership();
   /// Tries to become a member of the view.
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -338,6 +338,48 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(LearnsWhatItMissed)
+
+/// A ledger that was down while a turn of a chain ended keeps the turns before
+/// it only if it learns of that turn once it is back.
+BOOST_FIXTURE_TEST_CASE(FromTheOthersOnceALaterTurnRefersToIt, QuorumFixture) {
+  startAll();
+  useCurrentView();
+  BOOST_REQUIRE(storeRecord(turn("a")));
+  stop(3);
+  for (const char *Id : {"b", "c", "d"})
+    BOOST_REQUIRE(storeRecord(turn(Id, std::string(1, Id[0] - 1))));
+  start(3);
+  // The connection of the client may not be open again at once.
+  std::string Last;
+  for (int Number = 0; Nodes[3]->status().RecordsStored == 0; ++Number) {
+    Last = "e" + std::to_string(Number);
+    BOOST_REQUIRE(storeRecord(turn(Last, "d")));
+    Io.run_for(20ms);
+  }
+  until([this] { return Nodes[3]->status().MissedTurns == 0; });
+  const auto Link = LinkClient::make(
+      Io, options(3, /*FirstStart=*/false).Address, LinkOptions());
+  const Expected<Json> Answer = await(callLink(
+      Io, Link, calls::FetchLinks,
+      encodeBody(std::vector<TurnId>{TurnId(Last)}), steadyNow() + 2s));
+  BOOST_REQUIRE(Answer);
+  BOOST_TEST(Answer->get<FetchTurnsResponse>().Frames.size() == 5U);
+}
+
+BOOST_FIXTURE_TEST_CASE(NotIfNoLedgerHasIt, QuorumFixture) {
+  startAll();
+  useCurrentView();
+  BOOST_REQUIRE(storeRecord(turn("b", "nowhere")));
+  until([this] {
+    return std::all_of(Nodes.begin(), Nodes.end(), [](const auto &Node) {
+      return Node.second->status().MissedTurns == 0;
+    });
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(Retires)
 
 BOOST_FIXTURE_TEST_CASE(ImmediatelyWhenTheLedgerIsOnStandby, QuorumFixture) {
--- a/packages/turns/include/tamarack/turns/Messages.h
+++ b/packages/turns/include/tamarack/turns/Messages.h
@@ -32,6 +32,11 @@
 /// the address. Answers at once: InProgress until the records are on disk, so
 /// the call is repeated.
 inline constexpr const char *CatchUp = "absorb";
+/// Array of TurnId to FetchTurnsResponse: reads the records of these turns and
+/// of the turns before them, without texts; as many as fit into an answer.
+inline constexpr const char *FetchLinks = "links";
+/// RecordNames to LifetimesResponse: how long the ledger keeps these records.
+inline constexpr const char *Lifetimes = "lifetimes";
 /// Null to PingResponse.
 inline constexpr const char *Ping = "ping";
 /// CrashRequest to CrashNews: exchanges the requests under which endpoints
@@ -190,6 +195,13 @@
   std::vector<std::string> Frames;
 };
 
+/// Tells how long the named records are kept, by the ledger with that folder.
+struct LifetimesResponse {
+  FolderId Folder;
+  std::uint64_t ViewNumber = 0;
+  RecordLifetimes Lifetimes;
+};
+
 void to_json(Json &Value, LedgerRefusal Refusal);
 void from_json(const Json &Value, LedgerRefusal &Refusal);
 void to_json(Json &Value, const Account &From);
@@ -214,6 +226,8 @@
 void from_json(const Json &Value, ListRecordsResponse &To);
 void to_json(Json &Value, const FetchTurnsResponse &From);
 void from_json(const Json &Value, FetchTurnsResponse &To);
+void to_json(Json &Value, const LifetimesResponse &From);
+void from_json(const Json &Value, LifetimesResponse &To);
 
 /// Returns a short name for logs and counters.
 const char *nameOf(LedgerRefusal Refusal);
--- a/packages/turns/include/tamarack/turns/TurnStore.h
+++ b/packages/turns/include/tamarack/turns/TurnStore.h
@@ -11,6 +11,13 @@
 ///
 /// Once a text is on disk it is dropped from memory and read back on request.
 /// Reads are rare because entries cache the turns that they served.
+///
+/// A ledger that was down or cut off lacks records without knowing it. Before
+/// it drops anything it asks other ledgers for how long they keep the same:
+///
+///   const RecordNames Due = Store.expiring(Now);
+///   Store.extend(LifetimesOfAnotherLedger, Now);   // its lifetimes(Due, ...)
+///   Store.expire(Now, Due);
 #ifndef TAMARACK_TURNS_TURNSTORE_H
 #define TAMARACK_TURNS_TURNSTORE_H
 
@@ -22,6 +29,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -99,6 +107,30 @@
 void to_json(Json &Value, const RecordSummary &Summary);
 void from_json(const Json &Value, RecordSummary &Summary);
 
+/// Names turns and programs whose records may be dropped.
+struct RecordNames {
+  std::vector<TurnId> Turns;
+  std::vector<ProgramId> Programs;
+
+  bool empty() const { return Turns.empty() && Programs.empty(); }
+  friend bool operator==(const RecordNames &, const RecordNames &) = default;
+};
+
+/// How much longer a ledger keeps the chain of a turn, or the account of a
+/// program.
+struct RecordLifetimes {
+  std::map<TurnId, Duration> Turns;
+  std::map<ProgramId, Duration> Programs;
+
+  friend bool operator==(const RecordLifetimes &,
+                         const RecordLifetimes &) = default;
+};
+
+void to_json(Json &Value, const RecordNames &Names);
+void from_json(const Json &Value, RecordNames &Names);
+void to_json(Json &Value, const RecordLifetimes &Lifetimes);
+void from_json(const Json &Value, RecordLifetimes &Lifetimes);
+
 class TurnStore {
 public:
   using Texts = std::vector<std::shared_ptr<const StoredTurn>>;
@@ -143,10 +175,33 @@
   /// origin that this store does not have.
   bool isMissing(const RecordSummary &Summary) const;
 
+  /// Returns the turns whose place in a chain is not known here although a
+  /// later turn of the chain is, so that the turns before them are not kept as
+  /// long as the chain.
+  std::vector<TurnId> missedTurns() const;
+  /// Stops waiting for the records of \p Turns, which no ledger has.
+  void forgetMissed(const std::vector<TurnId> &Turns);
+  /// Returns the record of \p Last and of the turns before it, newest first and
+  /// without texts, back to the first unknown one, but at most \p MaxRecords.
+  std::vector<TurnRecord> linksBefore(const TurnId &Last,
+                                      std::size_t MaxRecords) const;
+
+  /// Returns the turns whose texts, and the programs whose accounts, are kept
+  /// no longer than \p Now; at most \p MaxNames of each.
+  RecordNames expiring(TimePoint Now, std::size_t MaxNames) const;
+  /// Returns how long those of \p Names that are kept here longer than \p Now
+  /// are kept.
+  RecordLifetimes lifetimes(const RecordNames &Names, TimePoint Now) const;
+  /// Keeps turns with their predecessors, and accounts, for at least \p By from
+  /// \p Now on.
+  void extend(const RecordLifetimes &By, TimePoint Now);
+
   /// Drops texts after their retention, origins after the time in which their
   /// streams may be resumed, and accounts without texts some minutes after
   /// their last change.
   void expire(TimePoint Now);
+  /// The same for no other texts and accounts than those of \p Names.
+  void expire(TimePoint Now, const RecordNames &Names);
 
   /// The number of turns with a text.
   std::size_t storedTurnCount() const;
--- a/packages/turns/src/Messages.cpp
+++ b/packages/turns/src/Messages.cpp
@@ -215,6 +215,18 @@
   }
 }
 
+void to_json(Json &Value, const LifetimesResponse &From) {
+  Value = Json{{"folder", From.Folder},
+               {"view", From.ViewNumber},
+               {"lifetimes", From.Lifetimes}};
+}
+
+void from_json(const Json &Value, LifetimesResponse &To) {
+  Value.at("folder").get_to(To.Folder);
+  Value.at("view").get_to(To.ViewNumber);
+  Value.at("lifetimes").get_to(To.Lifetimes);
+}
+
 const char *nameOf(LedgerRefusal Refusal) {
   switch (Refusal) {
   case LedgerRefusal::None:
--- a/packages/turns/src/TurnStore.cpp
+++ b/packages/turns/src/TurnStore.cpp
@@ -1,6 +1,7 @@
 #include "tamarack/turns/TurnStore.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace tamarack {
@@ -132,6 +133,24 @@
       Value.size() > 3 ? Value.at(3).get<std::uint32_t>() : 0;
 }
 
+void to_json(Json &Value, const RecordNames &Names) {
+  Value = Json::array({Names.Turns, Names.Programs});
+}
+
+void from_json(const Json &Value, RecordNames &Names) {
+  Value.at(0).get_to(Names.Turns);
+  Value.at(1).get_to(Names.Programs);
+}
+
+void to_json(Json &Value, const RecordLifetimes &Lifetimes) {
+  Value = Json::array({Lifetimes.Turns, Lifetimes.Programs});
+}
+
+void from_json(const Json &Value, RecordLifetimes &Lifetimes) {
+  Value.at(0).get_to(Lifetimes.Turns);
+  Value.at(1).get_to(Lifetimes.Programs);
+}
+
 struct TurnStore::Impl {
   RecordReader ReadRecord;
   std::unordered_map<std::string, TurnEntry> Turns;
@@ -176,17 +195,60 @@
     return Next != Current;
   }
 
-  /// Keeps \p Last and its predecessors until \p Until at least.
+  /// Turns that stored chains refer to and whose links are not known, and until
+  /// when these chains are kept.
+  std::unordered_map<std::string, TimePoint> Missed;
+
+  /// Keeps \p Last and its predecessors until \p Until at least. Stops at a
+  /// turn whose link is not known; the rest follows once it is.
   void extendChainRetention(const TurnId &Last, TimePoint Until) {
     TurnId Next = Last;
-    for (std::size_t Length = 0; Length < MaxChainLength; ++Length) {
+    for (std::size_t Length = 0; !Next.empty() && Length < MaxChainLength;
+         ++Length) {
       const auto Found = Turns.find(Next.text());
-      if (Found == Turns.end() || Found->second.ExpiresAt >= Until)
-        return;
-      Found->second.ExpiresAt = Until;
-      Next = Found->second.Link ? Found->second.Link->Previous : TurnId();
+      if (Found != Turns.end() && Found->second.Link) {
+        if (Found->second.ExpiresAt >= Until)
+          return;
+        Found->second.ExpiresAt = Until;
+        Next = Found->second.Link->Previous;
+        continue;
+      }
+      TimePoint &MissedUntil = Missed[Next.text()];
+      MissedUntil = std::max(MissedUntil, Until);
+      return;
     }
   }
+
+  /// Returns whether a chain that is kept longer than \p Now includes a turn of
+  /// \p Program, with or without its text.
+  bool hasKeptTurn(const ProgramEntry &Program, TimePoint Now) const {
+    return std::any_of(Program.Turns.begin(), Program.Turns.end(),
+                       [&](const TurnId &Turn) {
+                         return Turns.at(Turn.text()).ExpiresAt >= Now;
+                       });
+  }
+
+  bool hasText(const ProgramEntry &Program) const {
+    return std::any_of(
+        Program.Turns.begin(), Program.Turns.end(),
+        [&](const TurnId &Turn) { return Turns.at(Turn.text()).hasText(); });
+  }
+
+  /// Stores the place of a turn in its chain, and keeps the chain until
+  /// \p Until at least.
+  void setLink(const TurnId &Turn, TurnEntry &Entry, const TurnLink &Link,
+               TimePoint Until) {
+    const bool IsNew = !Entry.Link;
+    Entry.Link = Link;
+    if (const auto Found = Missed.find(Turn.text()); Found != Missed.end()) {
+      Until = std::max(Until, Found->second);
+      Missed.erase(Found);
+    }
+    if (!IsNew && Entry.ExpiresAt >= Until)
+      return;
+    Entry.ExpiresAt = std::max(Entry.ExpiresAt, Until);
+    extendChainRetention(Link.Previous, Entry.ExpiresAt);
+  }
 };
 
 TurnStore::TurnStore(RecordReader ReadRecord)
@@ -226,9 +288,9 @@
   const std::optional<TurnLink> Link =
       Record.Text ? withoutText(Record).Link : Record.Link;
   if (Link) {
-    Entry.Link = Link;
-    Inner->extendChainRetention(Record.Turn,
-                                Now + Link->Retention + RetentionSlack);
+    Changed = Changed || !Entry.Link;
+    Inner->setLink(Record.Turn, Entry, *Link,
+                   Now + Link->Retention + RetentionSlack);
   }
   return Changed;
 }
@@ -323,30 +385,102 @@
          Summary.OriginAttempt > (Entry.Origin ? Entry.Origin->Attempt : 0);
 }
 
+std::vector<TurnId> TurnStore::missedTurns() const {
+  std::vector<TurnId> Result;
+  Result.reserve(Inner->Missed.size());
+  for (const auto &[Turn, Until] : Inner->Missed)
+    Result.emplace_back(Turn);
+  std::sort(Result.begin(), Result.end());
+  return Result;
+}
+
+void TurnStore::forgetMissed(const std::vector<TurnId> &Turns) {
+  for (const TurnId &Turn : Turns)
+    Inner->Missed.erase(Turn.text());
+}
+
+std::vector<TurnRecord> TurnStore::linksBefore(const TurnId &Last,
+                                               std::size_t MaxRecords) const {
+  std::vector<TurnRecord> Result;
+  TurnId Next = Last;
+  while (!Next.empty() && Result.size() < MaxRecords) {
+    const auto Found = Inner->Turns.find(Next.text());
+    if (Found == Inner->Turns.end())
+      break;
+    const TurnEntry &Entry = Found->second;
+    Result.push_back({Entry.Program, Next, Entry.Charge, nullptr, Entry.Link,
+                      originOf(Entry)});
+    Next = Entry.Link ? Entry.Link->Previous : TurnId();
+  }
+  return Result;
+}
+
+RecordNames TurnStore::expiring(TimePoint Now, std::size_t MaxNames) const {
+  RecordNames Result;
+  for (const auto &[Turn, Entry] : Inner->Turns)
+    if (Result.Turns.size() < MaxNames && Entry.hasText() &&
+        Entry.ExpiresAt < Now)
+      Result.Turns.emplace_back(Turn);
+  for (const auto &[Program, Entry] : Inner->Programs)
+    if (Result.Programs.size() < MaxNames && Entry.ExpiresAt < Now &&
+        !Inner->hasKeptTurn(Entry, Now))
+      Result.Programs.emplace_back(Program);
+  return Result;
+}
+
+RecordLifetimes TurnStore::lifetimes(const RecordNames &Names,
+                                     TimePoint Now) const {
+  RecordLifetimes Result;
+  for (const TurnId &Turn : Names.Turns)
+    if (const auto Found = Inner->Turns.find(Turn.text());
+        Found != Inner->Turns.end() && Found->second.ExpiresAt > Now)
+      Result.Turns.emplace(Turn, Found->second.ExpiresAt - Now);
+  for (const ProgramId &Program : Names.Programs)
+    if (const auto Found = Inner->Programs.find(Program.text());
+        Found != Inner->Programs.end() && Found->second.ExpiresAt > Now)
+      Result.Programs.emplace(Program, Found->second.ExpiresAt - Now);
+  return Result;
+}
+
+void TurnStore::extend(const RecordLifetimes &By, TimePoint Now) {
+  for (const auto &[Turn, Lifetime] : By.Turns)
+    if (Inner->Turns.count(Turn.text()) > 0)
+      Inner->extendChainRetention(Turn, Now + Lifetime);
+  for (const auto &[Program, Lifetime] : By.Programs)
+    if (const auto Found = Inner->Programs.find(Program.text());
+        Found != Inner->Programs.end())
+      Found->second.ExpiresAt =
+          std::max(Found->second.ExpiresAt, Now + Lifetime);
+}
+
 void TurnStore::expire(TimePoint Now) {
-  for (auto &[Turn, Entry] : Inner->Turns) {
-    if (Entry.hasText() && Entry.ExpiresAt < Now) {
-      Inner->releaseText(Entry);
-      Entry.Location.reset();
-      --Inner->Texts;
-    }
+  expire(Now, expiring(Now, std::numeric_limits<std::size_t>::max()));
+}
+
+void TurnStore::expire(TimePoint Now, const RecordNames &Names) {
+  for (const TurnId &Turn : Names.Turns) {
+    const auto Found = Inner->Turns.find(Turn.text());
+    if (Found == Inner->Turns.end() || !Found->second.hasText() ||
+        Found->second.ExpiresAt >= Now)
+      continue;
+    Inner->releaseText(Found->second);
+    Found->second.Location.reset();
+    --Inner->Texts;
+  }
+  for (auto &[Turn, Entry] : Inner->Turns)
     if (Entry.Origin && Entry.Origin->ExpiresAt < Now)
       Entry.Origin.reset();
-  }
-  for (auto It = Inner->Programs.begin(); It != Inner->Programs.end();) {
-    const std::vector<TurnId> &Turns = It->second.Turns;
-    const bool Needed =
-        std::any_of(Turns.begin(), Turns.end(), [this](const TurnId &Turn) {
-          return Inner->Turns.at(Turn.text()).hasText();
-        });
-    if (Needed || It->second.ExpiresAt >= Now) {
-      ++It;
+  for (const ProgramId &Program : Names.Programs) {
+    const auto Found = Inner->Programs.find(Program.text());
+    if (Found == Inner->Programs.end() || Found->second.ExpiresAt >= Now ||
+        Inner->hasKeptTurn(Found->second, Now) || Inner->hasText(Found->second))
       continue;
-    }
-    for (const TurnId &Turn : Turns)
+    for (const TurnId &Turn : Found->second.Turns)
       Inner->Turns.erase(Turn.text());
-    It = Inner->Programs.erase(It);
+    Inner->Programs.erase(Found);
   }
+  std::erase_if(Inner->Missed,
+                [Now](const auto &Turn) { return Turn.second < Now; });
   std::erase_if(Inner->Processes, [](const auto &Process) {
     return Process.second.use_count() == 1;
   });
--- a/packages/turns/test/TurnStoreTest.cpp
+++ b/packages/turns/test/TurnStoreTest.cpp
@@ -70,6 +70,17 @@
   BOOST_TEST(chainText(Store, "a") == "in-a out-a ");
 }
 
+/// A ledger that was down while a turn ended cannot follow the chain past that
+/// turn. The turns before it must not expire while the chain is in use.
+BOOST_AUTO_TEST_CASE(WhoseTurnsArriveInAnotherOrder) {
+  TurnStore Store;
+  Store.apply(settledRecord("a", ""), StartTime);
+  Store.apply(settledRecord("c", "b"), StartTime + 50s);
+  Store.apply(withoutText(settledRecord("b", "a", 1s)), StartTime + 51s);
+  Store.expire(StartTime + 100s);
+  BOOST_TEST(chainText(Store, "a") == "in-a out-a ");
+}
+
 BOOST_AUTO_TEST_CASE(AsLongAsTheirNewestTurn) {
   TurnStore Store;
   Store.apply(settledRecord("a", ""), StartTime);
@@ -82,6 +93,113 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(ThatMissedATurnOfAChain)
+
+BOOST_AUTO_TEST_CASE(NamesItUntilItsLinkIsKnown) {
+  TurnStore Store;
+  Store.apply(settledRecord("a", ""), StartTime);
+  BOOST_TEST(Store.missedTurns().empty());
+  Store.apply(settledRecord("c", "b"), StartTime);
+  BOOST_REQUIRE(Store.missedTurns().size() == 1U);
+  BOOST_TEST(Store.missedTurns().front().text() == "b");
+  Store.apply(withoutText(settledRecord("b", "a")), StartTime);
+  BOOST_TEST(Store.missedTurns().empty());
+}
+
+/// A reservation has no place in the chain yet.
+BOOST_AUTO_TEST_CASE(NamesItAlsoIfOnlyItsReservationIsKnown) {
+  TurnStore Store;
+  Store.apply({ProgramId("p"), TurnId("b"), {500, false}, nullptr, {}},
+              StartTime);
+  Store.apply(settledRecord("c", "b"), StartTime);
+  BOOST_TEST(Store.missedTurns().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ForgetsItOnceNoLedgerHasItOrItsChainExpires) {
+  TurnStore Store;
+  Store.apply(settledRecord("c", "b"), StartTime);
+  Store.forgetMissed({TurnId("b")});
+  BOOST_TEST(Store.missedTurns().empty());
+  Store.apply(settledRecord("d", "x"), StartTime);
+  Store.expire(StartTime + 300s);
+  BOOST_TEST(Store.missedTurns().empty());
+}
+
+BOOST_AUTO_TEST_CASE(GetsTheLinksOfAllTurnsBeforeIt) {
+  TurnStore Store;
+  for (const auto &[Id, Previous] :
+       {std::pair("a", ""), {"b", "a"}, {"c", "b"}})
+    Store.apply(settledRecord(Id, Previous), StartTime);
+  const std::vector<TurnRecord> Links = Store.linksBefore(TurnId("c"), 2);
+  BOOST_REQUIRE(Links.size() == 2U);
+  BOOST_TEST(Links[0].Turn.text() == "c");
+  BOOST_TEST(Links[1].Turn.text() == "b");
+  BOOST_TEST(!Links[1].Text);
+  BOOST_TEST(Links[1].Link->Previous.text() == "a");
+  BOOST_TEST(Store.linksBefore(TurnId("z"), 2).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+/// A ledger must not drop what others keep because of records that it missed.
+BOOST_AUTO_TEST_SUITE(BeforeItDropsRecords)
+
+BOOST_AUTO_TEST_CASE(KeepsAChainForAsLongAsAnotherStoreDoes) {
+  TurnStore Store;
+  TurnStore Other;
+  for (TurnStore *Each : {&Store, &Other}) {
+    Each->apply(settledRecord("a", ""), StartTime);
+    Each->apply(settledRecord("b", "a"), StartTime);
+  }
+  Other.apply(withoutText(settledRecord("c", "b")), StartTime + 50s);
+  const TimePoint Now = StartTime + 100s;
+  const RecordNames Due = Store.expiring(Now, 10);
+  BOOST_TEST(Due.Turns.size() == 2U);
+  Store.extend(Other.lifetimes(Due, Now), Now);
+  Store.expire(Now, Due);
+  BOOST_TEST(chainText(Store, "b") == "in-a out-a in-b out-b ");
+  Store.expire(StartTime + 131s);
+  BOOST_TEST(chainText(Store, "b").empty());
+}
+
+BOOST_AUTO_TEST_CASE(KeepsAnAccountForAsLongAsAnotherStoreDoes) {
+  TurnStore Store;
+  TurnStore Other;
+  for (TurnStore *Each : {&Store, &Other})
+    Each->apply({ProgramId("p"), TurnId("a"), {500, false}, nullptr, {}},
+                StartTime);
+  Other.apply({ProgramId("p"), TurnId("b"), {300, false}, nullptr, {}},
+              StartTime + 170s);
+  const TimePoint Now = StartTime + 200s;
+  const RecordNames Due = Store.expiring(Now, 10);
+  BOOST_TEST(Due.Programs.size() == 1U);
+  Store.extend(Other.lifetimes(Due, Now), Now);
+  Store.expire(Now, Due);
+  BOOST_TEST(committedTokens(Store.account(ProgramId("p"))) == 500U);
+}
+
+BOOST_AUTO_TEST_CASE(NamesNoMoreRecordsThanAskedFor) {
+  TurnStore Store;
+  for (const char *Id : {"a", "b", "c"})
+    Store.apply(settledRecord(Id, ""), StartTime);
+  const RecordNames Due = Store.expiring(StartTime + 300s, 2);
+  BOOST_TEST(Due.Turns.size() == 2U);
+  Store.expire(StartTime + 300s, Due);
+  BOOST_TEST(Store.storedTurnCount() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(EncodesTheQuestionAndTheAnswer) {
+  const RecordNames Names{{TurnId("a")}, {ProgramId("p")}};
+  BOOST_TEST((Json(Names).get<RecordNames>() == Names));
+  const LifetimesResponse Answer{
+      FolderId("f"), 7, {{{TurnId("a"), 5s}}, {{ProgramId("p"), 6s}}}};
+  const auto Back = Json(Answer).get<LifetimesResponse>();
+  BOOST_TEST((Back.Lifetimes == Answer.Lifetimes));
+  BOOST_TEST(Back.ViewNumber == 7U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(KeepsTheFirstTextOfATurn) {
   TurnStore Store;
   Store.apply(settledRecord("a", ""), StartTime);
