End the first start with the first complete view

Cause: a ledger that was started with the whole system counted as having nothing to fetch for as long as its process ran. The same flag kept it from looking for members that are down. So a standby ledger took the place of the retiring member as a joined one, with no records, and made a majority with the two that came back.

Ruled out: the accounts and their merge (each ledger answered what it had), and reads from too few members (three of five answered).

Now a ledger joins without fetching only while the first view is formed: it has free places, and all its changes have added a member. While the view grows the required copies stay the same, so one member more without records is one more that may lack them. That is read from the view, so it ends for all processes at the same moment.

Before: turns AView/IsJoined/ByALedgerOfTheFirstStartThatMustFetchFirst failed (the ledger joins at once, at a free place and in place of a member).

ViewTest/WhileItsFreePlacesAreReservedForOtherDataCentres forms its view by joins, as a view with the number 7 and one member is not one of a first start; it checks the same.

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -66,6 +66,13 @@
                                        : Options.PublicAddress;
 }
 
+ViewRules LedgerNode::Impl::viewRules() const {
+  const bool Spread =
+      Options.FirstStart && steadyNow() - StartedAt < SpreadPeriod;
+  return {Options.TargetMembers, Options.DurableCopies, Options.FirstStart,
+          Spread};
+}
+
 std::shared_ptr<LinkClient>
 LedgerNode::Impl::linkTo(const std::string &Address) {
   auto &Link = Links[Address];
@@ -107,8 +114,8 @@
 
 Task<std::set<FolderId>> LedgerNode::Impl::findUnreachableMembers() {
   std::set<FolderId> Result;
-  if (Options.FirstStart)
-    co_return Result;
+  if (isForming(CurrentView, viewRules()))
+    co_return Result; // All members have just joined.
   struct PingState {
     std::set<FolderId> Unanswered;
     /// Members at whose address a ledger with another folder answers.
@@ -165,17 +172,15 @@
   const std::set<FolderId> Unreachable = co_await findUnreachableMembers();
   if (Before.Number != CurrentView.Number || Before.Number < NewestViewNumber)
     co_return;
-  const bool Spread =
-      Options.FirstStart && steadyNow() - StartedAt < SpreadPeriod;
-  const ViewRules Rules{Options.TargetMembers, Options.DurableCopies,
-                        Options.FirstStart, Spread};
+  const ViewRules Rules = viewRules();
   const JoinPlan Plan = planJoin(Before, self(), Unreachable, Rules);
   if (!Plan.Next) {
     LogLine("ledger.outside")
         .with("view", Before.Number)
         .with("reason", Plan.Reason);
-    co_await ViewChanged.wait(steadyNow() +
-                              (Spread ? RetryInterval : ViewPollInterval));
+    co_await ViewChanged.wait(steadyNow() + (Rules.OnePerDataCentre
+                                                 ? RetryInterval
+                                                 : ViewPollInterval));
     co_return;
   }
   const bool Done = co_await replaceView(Before, *Plan.Next, Plan.Reason);
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -148,6 +148,8 @@
   Task<bool> askMembersToCatchUp(View Remaining);
   std::shared_ptr<LinkClient> linkTo(const std::string &Address);
   ViewMember self() const;
+  /// What this ledger requires of views at the moment.
+  ViewRules viewRules() const;
   const std::string &publicAddress() const;
 
   // LedgerNode.cpp: the journal and periodic maintenance.
--- a/packages/turns/include/tamarack/turns/View.h
+++ b/packages/turns/include/tamarack/turns/View.h
@@ -104,12 +104,19 @@
   /// The number of disks that a record must be on: the tolerated losses plus
   /// one.
   std::size_t DurableCopies = 2;
-  /// Set when the whole system starts for the first time, with empty disks.
+  /// Set for a ledger that was started when the whole system started for the
+  /// first time, with empty disks.
   bool FirstStart = false;
   /// Reserves free places for data centres that have no member yet.
   bool OnePerDataCentre = false;
 };
 
+/// Returns whether \p Of is still being formed by ledgers of the first start:
+/// it has free places, and all its changes have added a member. Only then may a
+/// ledger join without fetching. Later on, members may lack what a member that
+/// has left had.
+bool isForming(const View &Of, const ViewRules &Rules);
+
 struct JoinPlan {
   /// The view to write; empty if the ledger is a member already or must stay
   /// on standby.
--- a/packages/turns/src/View.cpp
+++ b/packages/turns/src/View.cpp
@@ -172,6 +172,11 @@
       1, std::min(recordHolders(Of).size(), Members - Copies + 1));
 }
 
+bool isForming(const View &Of, const ViewRules &Rules) {
+  return Rules.FirstStart && Of.Number == Of.Members.size() &&
+         Of.Members.size() < Rules.TargetMembers;
+}
+
 JoinPlan planJoin(const View &Current, const ViewMember &Self,
                   const std::set<FolderId> &Unreachable,
                   const ViewRules &Rules) {
@@ -206,7 +211,9 @@
   }
   Next.Number = Current.Number + 1;
   Next.Members.push_back(Added);
-  const bool NothingToFetch = Rules.FirstStart || recordHolders(Next).empty();
+  const bool NothingToFetch =
+      (ToReplace == nullptr && isForming(Current, Rules)) ||
+      recordHolders(Next).empty();
   if (NothingToFetch)
     Next = withMemberJoined(Next, Self.Folder);
   else if (!hasEnoughSources(Next, Unreachable, Rules.DurableCopies))
--- a/packages/turns/test/ViewTest.cpp
+++ b/packages/turns/test/ViewTest.cpp
@@ -85,6 +85,19 @@
   BOOST_TEST(Next.Next->Number == 2U);
 }
 
+/// A ledger that has stood by since the first start lacks what the members have
+/// stored. It must not join a view with a free place as if it had just started.
+BOOST_AUTO_TEST_CASE(ByALedgerOfTheFirstStartThatMustFetchFirst) {
+  View Formed;
+  for (const char *Name : {"1", "2", "3"})
+    Formed = *planJoin(Formed, member(Name, false), {}, FirstStartRules).Next;
+  BOOST_TEST(describe(planJoin(withoutMember(Formed, FolderA),
+                               member("4", false), {}, FirstStartRules)) ==
+             "2 3 4? ");
+  BOOST_TEST(describe(planJoin(Formed, member("4", false), {FolderA},
+                               FirstStartRules)) == "2 3 4? ");
+}
+
 BOOST_AUTO_TEST_CASE(ByALedgerThatMustFetchFirst) {
   const View Current = viewOf({member("1"), member("2")});
   BOOST_TEST(describe(planJoin(Current, member("3", false), {},
@@ -225,7 +238,7 @@
 BOOST_AUTO_TEST_CASE(WhileItsFreePlacesAreReservedForOtherDataCentres) {
   ViewRules Spread = FirstStartRules;
   Spread.OnePerDataCentre = true;
-  const View Current = viewOf({member("1")});
+  const View Current = *planJoin({}, member("1", false), {}, Spread).Next;
   BOOST_TEST(describe(planJoin(Current, member("2", false), {}, Spread)) ==
              "none");
   ViewMember Elsewhere = member("3", false);
