Take a refusal for a proof only if it cannot be an earlier one

Reported by operators of similar systems: a faulty endpoint writes an earlier refusal once more on a kept connection, and callers are told "not run" for what has run, or it runs at a second endpoint. It could happen here.

Cause: an answer without a request id that is no success was taken for the answer to the present request also on a connection that had carried others; and a request whose id the same connection had refused before could get it again.

Now such an answer without an id leaves open whether the request ran: it is not sent again where it must run once, and the caller gets 502. A request gets no connection on which its id was refused.

Before: AfterARefusalThatIsRepeatedOnTheConnection failed in three cases: a payment was answered 200 after it had been sent to the second endpoint too, the connection was used for the same id again, a stream was answered 503.

--- a/packages/net/include/tamarack/net/HttpCall.h
+++ b/packages/net/include/tamarack/net/HttpCall.h
@@ -54,11 +54,12 @@
   ConnectionPool(const ConnectionPool &) = delete;
   ConnectionPool &operator=(const ConnectionPool &) = delete;
 
-  /// Returns an idle connection that the server has not closed, or opens a new
-  /// one. \p Address is "IP:PORT". Fails with InvalidConfiguration for a
-  /// malformed address and with LinkLost if the connection cannot be opened.
+  /// Returns an idle connection that the server has not closed and that has not
+  /// carried a refusal of \p RequestId, or opens a new one. \p Address is
+  /// "IP:PORT". Fails with InvalidConfiguration for a malformed address and
+  /// with LinkLost if the connection cannot be opened.
   Task<Expected<std::unique_ptr<internal::HttpConnection>>>
-  acquire(std::string Address);
+  acquire(std::string Address, std::string RequestId);
   /// Returns a connection to the pool, or closes it if the pool already holds
   /// MaxIdlePerServer connections to its server.
   void release(std::unique_ptr<internal::HttpConnection> Connection);
@@ -84,9 +85,10 @@
 class HttpCall {
 public:
   /// Takes a connection to \p Address from \p Pool. Fails like
-  /// ConnectionPool::acquire(); LinkLost is proved not run.
-  static Task<Expected<std::shared_ptr<HttpCall>>> open(ConnectionPool &Pool,
-                                                        std::string Address);
+  /// ConnectionPool::acquire(); LinkLost is proved not run. A request with an
+  /// id gets no connection on which noteRefusal() was called for the same id.
+  static Task<Expected<std::shared_ptr<HttpCall>>>
+  open(ConnectionPool &Pool, std::string Address, std::string RequestId = {});
   ~HttpCall();
   HttpCall(const HttpCall &) = delete;
   HttpCall &operator=(const HttpCall &) = delete;
@@ -104,6 +106,9 @@
   /// Returns the next bytes of the body, or std::nullopt at its end. Fails with
   /// EndpointFailed if the connection ends before the body does.
   Task<Expected<std::optional<std::string>>> readPiece();
+  /// Tells that the current response refuses the request \p RequestId. A faulty
+  /// server may write it once more on this connection.
+  void noteRefusal(const std::string &RequestId);
   /// Closes the connection; pending reads fail.
   void abort();
   /// Returns the connection to the pool if it is reusable, else closes it.
--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -21,6 +21,8 @@
 constexpr Duration IdleTimeoutMargin = std::chrono::milliseconds(700);
 constexpr std::uint32_t MaxHeadBytes = 64U << 10U;
 constexpr std::size_t MaxRetainedBufferBytes = 16U << 10U;
+/// A connection that has carried more refusals is closed.
+constexpr std::size_t MaxRefusalsPerConnection = 64;
 
 /// Whether the server has neither closed the connection nor sent bytes on it.
 bool isIdle(HttpConnection &Connection) {
@@ -54,12 +56,14 @@
 ConnectionPool::~ConnectionPool() = default;
 
 Task<Expected<std::unique_ptr<HttpConnection>>>
-ConnectionPool::acquire(std::string Address) {
+ConnectionPool::acquire(std::string Address, std::string RequestId) {
   auto &Connections = Idle[Address];
   while (!Connections.empty()) {
     std::unique_ptr<HttpConnection> Next = std::move(Connections.back());
     Connections.pop_back();
-    if (Next->IdleDeadline > steadyNow() && isIdle(*Next))
+    const bool MayRepeatRefusal =
+        !RequestId.empty() && Next->RefusedIds.count(RequestId) > 0;
+    if (Next->IdleDeadline > steadyNow() && isIdle(*Next) && !MayRepeatRefusal)
       co_return Next;
   }
   const Expected<Tcp::endpoint> Peer = parseAddress(Address);
@@ -147,7 +151,8 @@
   bool isReusable() const {
     return Written && !Aborted && !Failed && Reader->is_done() &&
            Reader->keep_alive() && !Reader->need_eof() &&
-           Connection->Buffer.size() == 0;
+           Connection->Buffer.size() == 0 &&
+           Connection->RefusedIds.size() <= MaxRefusalsPerConnection;
   }
 };
 
@@ -155,9 +160,11 @@
 
 HttpCall::~HttpCall() { finish(); }
 
-Task<Expected<std::shared_ptr<HttpCall>>> HttpCall::open(ConnectionPool &Pool,
-                                                         std::string Address) {
-  auto Connection = co_await Pool.acquire(std::move(Address));
+Task<Expected<std::shared_ptr<HttpCall>>>
+HttpCall::open(ConnectionPool &Pool, std::string Address,
+               std::string RequestId) {
+  auto Connection =
+      co_await Pool.acquire(std::move(Address), std::move(RequestId));
   if (!Connection)
     co_return tl::unexpected(Connection.error());
   co_return std::shared_ptr<HttpCall>(
@@ -234,6 +241,11 @@
   co_return Expected<void>();
 }
 
+void HttpCall::noteRefusal(const std::string &RequestId) {
+  if (Inner->Connection)
+    Inner->Connection->RefusedIds.insert(RequestId);
+}
+
 void HttpCall::abort() {
   if (Inner->Connection)
     Inner->abort();
--- a/packages/net/src/HttpConnection.h
+++ b/packages/net/src/HttpConnection.h
@@ -5,6 +5,8 @@
 #include "tamarack/net/Loop.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <set>
+#include <string>
 
 namespace tamarack::internal {
 
@@ -20,6 +22,8 @@
   /// When an idle connection must no longer be used, because the server may
   /// close it.
   TimePoint IdleDeadline = TimePoint::max();
+  /// The ids of requests that were refused on this connection.
+  std::set<std::string> RefusedIds;
 };
 
 } // namespace tamarack::internal
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -79,7 +79,7 @@
 Task<std::shared_ptr<HttpCall>>
 Relay::Impl::sendAttempt(RequestContext &Context, EndpointEntry To) {
   const Expected<std::shared_ptr<HttpCall>> Call =
-      co_await HttpCall::open(Pool, To.Address);
+      co_await HttpCall::open(Pool, To.Address, Context.Metadata.RequestId);
   if (!Call) {
     Endpoints.onFailure(To.Endpoint, steadyNow());
     Metrics.countRetry(RelayRetryReason::NoConnection);
@@ -109,11 +109,24 @@
     // Status 421 comes from another instance at the endpoint's address.
     if (Head->Status != 421)
       recordEndpointState(Context, From, Metadata);
-    const bool Matches =
-        Metadata.RequestId == Context.Metadata.RequestId ||
-        (Metadata.RequestId.empty() && !isSuccess(Head->Status));
-    if (Matches)
+    const bool HasId = !Metadata.RequestId.empty();
+    // A copy of an earlier response may precede the one to this request.
+    const bool MayAnswerOther = Call.reused() || Skipped > 0;
+    if (!HasId && !isSuccess(Head->Status) && MayAnswerOther) {
+      LogLine("entry.unidentified_answer")
+          .with("request", Context.Metadata.RequestId)
+          .with("endpoint", From)
+          .with("status", Head->Status);
+      co_return refuse(ErrorKind::EndpointFailed,
+                       "a response without a request id on a connection that "
+                       "has carried other requests");
+    }
+    if (HasId ? Metadata.RequestId == Context.Metadata.RequestId
+              : !isSuccess(Head->Status)) {
+      if (isRefusal(*Head))
+        Call.noteRefusal(Context.Metadata.RequestId);
       co_return Head;
+    }
     LogLine("entry.other_answer")
         .with("request", Context.Metadata.RequestId)
         .with("answer_to", Metadata.RequestId)
--- a/packages/relay/test/RelayTest.cpp
+++ b/packages/relay/test/RelayTest.cpp
@@ -82,6 +82,51 @@
   BOOST_TEST(!Response.Head.Fields.has("Signed"));
 }
 
+/// A faulty endpoint writes an earlier refusal once more before its response.
+/// Taken for the response, it makes a request run twice or a caller repeat one.
+BOOST_AUTO_TEST_SUITE(AfterARefusalThatIsRepeatedOnTheConnection)
+
+BOOST_AUTO_TEST_CASE(AreNotSentToAnotherEndpointIfItNamesNoRequest) {
+  const std::string Refusal = "HTTP/1.1 503 Service Unavailable\r\n"
+                              "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  setResponses({{signedResponse("paid")}});
+  Endpoints[0]->Responses = {{signedResponse("first")},
+                             {Refusal + signedResponse("paid")}};
+  listEndpoints({0});
+  BOOST_TEST(sendRequest("/once/a", {{"Id", "1"}}, "b").Body == "first");
+  listEndpoints({0, 1});
+  std::size_t Status = 0;
+  for (int Id = 2; Endpoints[0]->Requests.size() < 2 && Id < 50; ++Id)
+    Status =
+        sendRequest("/once/a", {{"Id", std::to_string(Id)}}, "b").Head.Status;
+  BOOST_TEST(Status == 502U);
+  const std::string &Paid = Endpoints[0]->Requests.back();
+  const std::string Id = Paid.substr(Paid.find("\nId: "), 8);
+  for (const std::string &Other : Endpoints[1]->Requests)
+    BOOST_TEST(Other.find(Id) == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(AreNotSentOverItIfTheyHaveTheIdThatItNames) {
+  setResponses({notRunResponse()});
+  listEndpoints({0});
+  BOOST_TEST(sendRequest("/once/a", {{"Id", "1"}}, "b").Head.Status == 503);
+  BOOST_TEST(sendRequest("/once/a", {{"Id", "2"}}, "b").Head.Status == 503);
+  BOOST_TEST(Endpoints[0]->ClosedConnections == 0U);
+  BOOST_TEST(sendRequest("/once/a", {{"Id", "1"}}, "b").Head.Status == 503);
+  until([this] { return Endpoints[0]->ClosedConnections == 1; });
+}
+
+BOOST_AUTO_TEST_CASE(StreamsAreNotRefusedAsNotRun) {
+  const std::string Refusal = "HTTP/1.1 503 Service Unavailable\r\n"
+                              "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  setResponses({{completeStream(2)}, {Refusal + completeStream(2)}});
+  listEndpoints({0});
+  BOOST_TEST(sendTurn("1", "1000").Head.Status == 200);
+  BOOST_TEST(sendTurn("2", "1000").Head.Status == 502);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(TimeOutAtTheirDeadline) {
   setResponses({{signedResponse("late"), false, 700ms}});
   const HttpResponse Response =
