--- a/packages/net/src/Loop.cpp
+++ b/packages/net/src/Loop.cpp
@@ -1,6 +1,7 @@
 #include "tamarack/net/Loop.h"
 
 #include <boost/asio/detached.hpp>
+#include <charconv>
 #include <exception>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -44,12 +45,14 @@
   const std::size_t Colon = Text.rfind(':');
   ErrorCode Failure;
   const auto Address = asio::ip::make_address(Text.substr(0, Colon), Failure);
-  const int Port =
-      Colon == std::string::npos ? 0 : std::atoi(Text.c_str() + Colon + 1);
-  if (Failure || Port <= 0 || Port > 65535)
+  std::uint16_t Port = 0;
+  const char *const End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(
+      Colon == std::string::npos ? End : Text.data() + Colon + 1, End, Port);
+  if (Failure || Parsed.ec != std::errc() || Parsed.ptr != End || Port == 0)
     return refuse(ErrorKind::InvalidConfiguration,
                   "address '" + Text + "' is not of the form IP:PORT");
-  return Tcp::endpoint(Address, static_cast<unsigned short>(Port));
+  return Tcp::endpoint(Address, Port);
 }
 
 void configureSocket(Tcp::socket &Socket, Duration AckTimeout) {
--- a/packages/turns/src/View.cpp
+++ b/packages/turns/src/View.cpp
@@ -5,6 +5,11 @@
 namespace tamarack {
 namespace {
 
+/// The longest view in the store; a member takes some 300 bytes.
+constexpr std::size_t MaxViewBytes = 64U << 10U;
+/// View numbers only increase, so a greater one would end all changes.
+constexpr std::uint64_t MaxViewNumber = std::uint64_t(1) << 48U;
+
 /// Returns the member that Self should replace, or null: the member on Self's
 /// own instance, else an unreachable member that has not joined, else one that
 /// is leaving, else an unreachable joined member.
@@ -131,8 +136,16 @@
 }
 
 Expected<View> parseView(const std::string &Text) {
+  if (Text.size() > MaxViewBytes)
+    return refuse(ErrorKind::InvalidConfiguration, "the view is too long");
   try {
-    return Json::parse(Text).get<View>();
+    const Json Value = Json::parse(Text);
+    // Any other number would be narrowed to one that no later view exceeds.
+    if (!Value.at("number").is_number_unsigned() ||
+        Value.at("number").get<std::uint64_t>() > MaxViewNumber)
+      return refuse(ErrorKind::InvalidConfiguration,
+                    "the number of the view is not a count");
+    return Value.get<View>();
   } catch (const Json::exception &Failure) {
     return refuse(ErrorKind::InvalidConfiguration,
                   std::string("malformed view: ") + Failure.what());
--- a/packages/turns/test/ViewTest.cpp
+++ b/packages/turns/test/ViewTest.cpp
@@ -54,6 +54,19 @@
     BOOST_TEST(!parseView(Text), Text);
 }
 
+/// Another writer leaves an odd view. View numbers only increase, so one that
+/// is narrowed to the greatest number would be the last.
+BOOST_AUTO_TEST_CASE(IsRefusedIfItsNumberIsOutOfRange) {
+  for (const char *Number : {"-1", "1.5", "1e300", "18446744073709551615",
+                             "99999999999999999999", "null", "\"1\""})
+    BOOST_TEST(
+        !parseView(R"({"number":)" + std::string(Number) + R"(,"members":[]})"),
+        Number);
+  const std::string Deep(100000, '[');
+  BOOST_TEST(!parseView(R"({"number":1,"members":[],"x":)" + Deep +
+                        std::string(Deep.size(), ']') + "}"));
+}
+
 BOOST_AUTO_TEST_CASE(NeedsMoreThanHalfOfItsMembers) {
   BOOST_TEST(quorumSize(viewOf({member("1")})) == 1U);
   BOOST_TEST(quorumSize(viewOf({member("1"), member("2")})) == 2U);
