Count the tokens of a turn as configured when it was sent

Cause: tokens were counted at the end of a turn by the configuration of that moment. Without the service an event has none, so turns were settled at zero.

Now the tokens of an event are taken when the turn is sent. If the service was not listed then, a turn with events is settled at its maximum.

Before: RelayTurns/Streams/AreSettledAtTheirTokensIfTheirServiceIsListedNoMore failed (0 tokens drawn, 30 expected).

--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -46,6 +46,9 @@
   SoftwareVersion CurrentVersion;
   /// The only version that may get the request, if it resumes a stream.
   std::optional<SoftwareVersion> RequiredVersion;
+  /// The tokens of one event of the service when the turn was sent to it; empty
+  /// if it was not listed. A later configuration may list it no more.
+  std::optional<TokenCount> TokensPerEvent;
   /// The origin of the stream as it was last sent to the ledgers; empty if the
   /// stream cannot be resumed.
   std::optional<StreamOrigin> Origin;
@@ -286,9 +289,10 @@
   /// if the turn could not be stored.
   Task<bool> finishTurn(internal::RequestContext &Context,
                         internal::StreamState &State);
-  /// The tokens of the events that were forwarded.
-  TokenCount generatedTokens(const internal::RequestContext &Context,
-                             const internal::StreamState &State) const;
+  /// The tokens of the events that were forwarded; the maximum of the turn if
+  /// it is not known how many an event has.
+  static TokenCount generatedTokens(const internal::RequestContext &Context,
+                                    const internal::StreamState &State);
 };
 
 } // namespace tamarack
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -121,10 +121,11 @@
 }
 
 TokenCount Relay::Impl::generatedTokens(const RequestContext &Context,
-                                        const StreamState &State) const {
-  const ServiceInfo *Info = findService(ActiveCatalog, Context.Service);
-  const TokenCount PerEvent = Info == nullptr ? 0 : Info->TokensPerEvent;
-  return State.Events * PerEvent;
+                                        const StreamState &State) {
+  if (State.Events == 0)
+    return 0;
+  return Context.TokensPerEvent ? State.Events * *Context.TokensPerEvent
+                                : Context.Metadata.MaxTurnTokens;
 }
 
 Task<void> Relay::Impl::serveTurn(RequestContext &Context) {
@@ -199,6 +200,8 @@
   const ServiceInfo *Info = findService(ActiveCatalog, Context.Service);
   Endpoints.onRequestStarted(To.Endpoint, steadyNow(), Context.Metadata.Prompt,
                              Info == nullptr ? 0 : Info->MemoryTokens);
+  Context.TokensPerEvent =
+      Info == nullptr ? std::nullopt : std::optional(Info->TokensPerEvent);
   Context.CurrentEndpoint = To.Endpoint;
   Context.CurrentVersion = To.Version;
   const TimePoint SentAt = steadyNow();
--- a/packages/relay/test/RelayTest.cpp
+++ b/packages/relay/test/RelayTest.cpp
@@ -459,6 +459,25 @@
   BOOST_TEST(tokensDrawnBy("p") == 30U);
 }
 
+/// A configuration that comes while a turn runs may list its service no more.
+/// Settled at no tokens, the turn would give its budget back.
+BOOST_AUTO_TEST_CASE(AreSettledAtTheirTokensIfTheirServiceIsListedNoMore) {
+  setResponses({{completeStream(3), false, 200ms}});
+  spawn(Io, [](RelayFixture &Self) -> Task<void> {
+    co_await pause(Self.Io, 100ms);
+    Self.Routes.Version = 2;
+    Self.Routes.Services.clear();
+    Self.RequestRelay.setCatalog(Self.Routes);
+  }(*this));
+  BOOST_TEST(sendTurn("1", "1000").Head.Status == 200);
+  until([this] { return Client.pendingRecords() == 0; });
+  BOOST_TEST(tokensDrawnBy("p") == 30U);
+  // What an event has is not known from here on.
+  BOOST_TEST(sendTurn("2", "1000").Head.Status == 200);
+  until([this] { return Client.pendingRecords() == 0; });
+  BOOST_TEST(tokensDrawnBy("p") == 130U);
+}
+
 BOOST_AUTO_TEST_CASE(AreAbortedIfTheEndpointBreaksOff) {
   setResponses({{signedStreamHead() + eventChunk(1) + eventChunk(2), true}});
   BOOST_TEST(sendTurn("t1", "1000").Head.Status == 0);
