Do not resume streams by a list of endpoints that is older than the ledgers'

Cause: nothing in the decision knows the age of the list, and a suspended process sends what it had decided before.

Now ledgers tell the age of their lists with the answers to the reservation of a resumption. If one is more than a second younger, the entry asks the store once and else refuses, as not run and with a time to come back, so that the caller goes to another entry. In an outage of the store all lists are equally old and streams go on. The age is looked at again at the send.

--- a/packages/quorum/include/tamarack/quorum/LedgerNode.h
+++ b/packages/quorum/include/tamarack/quorum/LedgerNode.h
@@ -57,6 +57,9 @@
   /// Smaller is nearer; records are fetched from the nearest members first.
   std::function<int(const DataCentreId &)> Distance;
   LinkOptions Link;
+  /// Returns the time since this process's list of endpoints was confirmed, if
+  /// it ever was. Entries compare theirs with it; may be null.
+  std::function<std::optional<Duration>()> EndpointListAge;
   /// Handles the calls that are not the ledger's own; returns false for an
   /// unknown one.
   std::function<bool(const std::string &Name, const Json &Body,
--- a/packages/quorum/include/tamarack/quorum/QuorumClient.h
+++ b/packages/quorum/include/tamarack/quorum/QuorumClient.h
@@ -49,6 +49,9 @@
   /// The versions at which streams began that may still be resumed; complete
   /// if the update resumed a stream, else empty.
   std::set<ServiceVersion> OriginVersions = {};
+  /// The time since any of the members last confirmed its list of endpoints; set
+  /// if the update resumed a stream and a member knows.
+  std::optional<Duration> EndpointListAge = {};
 };
 
 /// How long an attempt to store a record goes on.
--- a/packages/quorum/src/LedgerCalls.cpp
+++ b/packages/quorum/src/LedgerCalls.cpp
@@ -124,6 +124,8 @@
     Result.ResumedOrigin =
         Store.origin(*Request.ResumedTurn, Request.Record.Program);
     Result.OriginVersions = Store.originVersions();
+    if (Options.EndpointListAge)
+      Result.EndpointListAge = Options.EndpointListAge();
   }
   if (Request.LoadReport)
     Result.NewsElsewhere = exchangeLoadReports(*Request.LoadReport);
--- a/packages/quorum/src/QuorumClient.cpp
+++ b/packages/quorum/src/QuorumClient.cpp
@@ -278,6 +278,10 @@
       mergeOrigin(State->Program.ResumedOrigin, Answer.ResumedOrigin);
       State->Program.OriginVersions.insert(Answer.OriginVersions.begin(),
                                            Answer.OriginVersions.end());
+      auto &ListAge = State->Program.EndpointListAge;
+      if (Answer.EndpointListAge)
+        ListAge = std::min(ListAge.value_or(Duration::max()),
+                           *Answer.EndpointListAge);
     }
     State->Changed.raise();
   };
--- a/packages/quorum/test/QuorumFixture.h
+++ b/packages/quorum/test/QuorumFixture.h
@@ -57,6 +57,7 @@
                                   std::to_string(StartCount));
     Result.FirstStart = FirstStart;
     Result.CompactAfterBytes = CompactAfterBytes;
+    Result.EndpointListAge = [this] { return LedgerListAge; };
     return Result;
   }
   fs::path folder(int Number) const { return Root / std::to_string(Number); }
@@ -154,6 +155,8 @@
   std::map<int, std::unique_ptr<LedgerNode>> Nodes;
   QuorumClient Client{Io, {}};
   int StartCount = 0;
+  /// How old the ledgers' lists of endpoints are.
+  std::optional<Duration> LedgerListAge;
   std::uint64_t CompactAfterBytes = 96U << 20U;
 };
 
--- a/packages/relay/include/tamarack/relay/Relay.h
+++ b/packages/relay/include/tamarack/relay/Relay.h
@@ -31,7 +31,8 @@
 
 namespace tamarack {
 
-/// How current the configuration is.
+/// How current the configuration and the list of endpoints are, which come from
+/// the same source.
 struct CatalogSource {
   /// Returns the time since the configuration was last confirmed to be the
   /// newest; empty if it never was. It counts as current if this is not set.
--- a/packages/relay/include/tamarack/relay/Resumption.h
+++ b/packages/relay/include/tamarack/relay/Resumption.h
@@ -30,6 +30,8 @@
   VersionUnavailable,
   /// Too few ledgers answered.
   LedgersUnavailable,
+  /// The list of endpoints of this process is older than that of others.
+  OutdatedList,
 };
 
 /// The label value of \p Outcome.
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -4,6 +4,7 @@
 
 using internal::AttemptOutcome;
 using internal::AttemptResult;
+using internal::formatMillis;
 using internal::RequestContext;
 
 namespace {
@@ -91,6 +92,15 @@
   }
   if (Context.isCancelled())
     co_return nullptr;
+  if (isDecisionOutdated(Context)) {
+    LogLine("entry.decision_outdated")
+        .with("request", Context.Metadata.RequestId)
+        .with("endpoint", To.Endpoint)
+        .with("version", To.Version)
+        .with("decided_age_ms", Context.DecidedListAge)
+        .with("list_age_ms", formatMillis(catalogAge()));
+    co_return nullptr;
+  }
   Context.CurrentCall = *Call;
   (*Call)->send(encodeRequest(buildAttemptRequest(Context, To)),
                 Context.Caller.request().Method == "HEAD");
--- a/packages/relay/src/Origins.cpp
+++ b/packages/relay/src/Origins.cpp
@@ -4,13 +4,18 @@
 
 namespace tamarack {
 
+using internal::formatMillis;
 using internal::LedgerTimeout;
 using internal::RequestContext;
+using internal::StoreConfirmTimeout;
 
 namespace {
 
 /// The maximum length of the id of a request whose stream can be resumed.
 constexpr std::size_t MaxResumedIdBytes = 256;
+/// Entries that can reach a ledger confirm their lists of endpoints within half
+/// a second of it.
+constexpr Duration MaxListLag = std::chrono::seconds(1);
 
 std::string clipped(const std::string &Text) {
   return Text.substr(0, MaxResumedIdBytes);
@@ -103,9 +108,33 @@
   return Listed != nullptr && Listed->Version != Context.CurrentVersion;
 }
 
-std::optional<Error>
+bool Relay::Impl::isListOutdated(std::optional<Duration> AgeElsewhere) const {
+  const std::optional<Duration> Age = catalogAge();
+  return AgeElsewhere && (!Age || *Age > *AgeElsewhere + MaxListLag);
+}
+
+bool Relay::Impl::isDecisionOutdated(const RequestContext &Context) const {
+  const std::optional<Duration> Age = catalogAge();
+  return Context.RequiredVersion &&
+         (!Age || *Age > Context.DecidedListAge + MaxListLag);
+}
+
+Task<std::optional<Error>>
 Relay::Impl::requireVersion(RequestContext &Context,
-                            const QuorumProgramState &Program) {
+                            QuorumProgramState Program) {
+  if (isListOutdated(Program.EndpointListAge)) {
+    const TimePoint Deadline =
+        std::min(Context.Deadline, steadyNow() + StoreConfirmTimeout);
+    co_await Configuration.Confirm(Deadline);
+  }
+  if (isListOutdated(Program.EndpointListAge)) {
+    recordResumption(Context, Program.ResumedOrigin,
+                     ResumptionOutcome::OutdatedList);
+    co_return Error{ErrorKind::PlatformUnavailable,
+                    "the list of endpoints may be outdated",
+                    NotRun::Proved,
+                    {}};
+  }
   ResumptionFacts Facts;
   Facts.MatchedRoute = Context.MatchedRoute;
   Facts.Service = Context.Service;
@@ -118,17 +147,18 @@
   if (Decision.Target) {
     Context.Service = Decision.Target->Service;
     Context.RequiredVersion = Decision.Target->Version;
-    return std::nullopt;
+    Context.DecidedListAge = catalogAge().value_or(Duration(0));
+    co_return std::nullopt;
   }
   if (Decision.Outcome == ResumptionOutcome::UnknownVersion)
-    return Error{ErrorKind::UnknownStream,
-                 "it is not known at which version the stream began",
-                 NotRun::Proved,
-                 {}};
-  return Error{ErrorKind::VersionUnavailable,
-               "no endpoint of the version that began the stream is left",
-               NotRun::Proved,
-               {}};
+    co_return Error{ErrorKind::UnknownStream,
+                    "it is not known at which version the stream began",
+                    NotRun::Proved,
+                    {}};
+  co_return Error{ErrorKind::VersionUnavailable,
+                  "no endpoint of the version that began the stream is left",
+                  NotRun::Proved,
+                  {}};
 }
 
 void Relay::Impl::recordResumption(const RequestContext &Context,
@@ -146,6 +176,7 @@
       .with("version", Begun.Runs.Version)
       .with("endpoint", Begun.Endpoint)
       .with("attempt", Origin ? Origin->Attempt : 0)
+      .with("list_age_ms", formatMillis(catalogAge()))
       .with("outcome", nameOf(Outcome));
 }
 
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -6,8 +6,10 @@
 
 using internal::AttemptOutcome;
 using internal::AttemptResult;
+using internal::formatMillis;
 using internal::RateLimitReason;
 using internal::RequestContext;
+using internal::StoreConfirmTimeout;
 
 namespace {
 
@@ -18,9 +20,6 @@
 /// probably have: a new connection leads to one of them.
 constexpr Duration RetryAfterElsewhere = std::chrono::milliseconds(50);
 
-/// How long a request without a route or an endpoint waits until the store has
-/// confirmed that. It answers within 50 ms, or 300 ms while it is slow.
-constexpr Duration StoreConfirmTimeout = std::chrono::milliseconds(400);
 /// If less than one in this many endpoints is left after a change, the list is
 /// in doubt.
 constexpr std::size_t MaxShrinkDivisor = 2;
@@ -42,10 +41,6 @@
                     RetryAfterFull, MaxRetryAfter);
 }
 
-std::string formatMillis(std::optional<Duration> Span) {
-  return Span ? std::to_string(*Span / std::chrono::milliseconds(1)) : "none";
-}
-
 /// Formats \p Span in seconds with three decimals.
 std::string formatSeconds(Duration Span) {
   const auto Millis =
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -19,6 +19,14 @@
 /// round trips between regions, the ledgers' syncs to disk, and the replacement
 /// of one connection that stopped responding.
 inline constexpr Duration LedgerTimeout = std::chrono::milliseconds(1000);
+/// How long a request waits until the store has confirmed that there is no
+/// route or endpoint for it, or an outdated list of endpoints. It answers
+/// within 50 ms, or 300 ms while it is slow.
+inline constexpr Duration StoreConfirmTimeout = std::chrono::milliseconds(400);
+
+inline std::string formatMillis(std::optional<Duration> Span) {
+  return Span ? std::to_string(*Span / std::chrono::milliseconds(1)) : "none";
+}
 
 /// Why a request is refused if the rate limits of all endpoints are used up.
 inline constexpr const char *RateLimitReason =
@@ -46,6 +54,8 @@
   SoftwareVersion CurrentVersion;
   /// The only version that may get the request, if it resumes a stream.
   std::optional<SoftwareVersion> RequiredVersion;
+  /// The age of the list of endpoints when RequiredVersion was decided.
+  Duration DecidedListAge{0};
   /// The tokens of one event of the service when the turn was sent to it; empty
   /// if it was not listed. A later configuration may list it no more.
   std::optional<TokenCount> TokensPerEvent;
@@ -201,10 +211,16 @@
   /// Whether the endpoint that the request was sent to is now listed with
   /// another version, so that it is not known which one generates its events.
   bool isVersionInDoubt(const internal::RequestContext &Context) const;
+  /// Whether a ledger, whose list of endpoints is \p AgeElsewhere old, may know
+  /// versions that this process does not know of yet.
+  bool isListOutdated(std::optional<Duration> AgeElsewhere) const;
+  /// Whether the process stood still since the version of the request was
+  /// decided, so that its list of endpoints may have changed meanwhile.
+  bool isDecisionOutdated(const internal::RequestContext &Context) const;
   /// Restricts the request to the version at which its stream goes on. Returns
   /// why the request is refused, if it is.
-  std::optional<Error> requireVersion(internal::RequestContext &Context,
-                                      const QuorumProgramState &Program);
+  Task<std::optional<Error>> requireVersion(internal::RequestContext &Context,
+                                            QuorumProgramState Program);
   void recordResumption(const internal::RequestContext &Context,
                         const std::optional<StreamOrigin> &Origin,
                         ResumptionOutcome Outcome);
--- a/packages/relay/src/Resumption.cpp
+++ b/packages/relay/src/Resumption.cpp
@@ -33,6 +33,8 @@
     return "version_unavailable";
   case ResumptionOutcome::LedgersUnavailable:
     return "ledgers_unavailable";
+  case ResumptionOutcome::OutdatedList:
+    return "outdated_list";
   }
   return "unknown";
 }
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -58,8 +58,9 @@
     co_return notRunError(ErrorKind::NotEnoughCopies, Program.error().Message);
   }
   Context.LastEndpoint = Program->LastRanAt;
-  if (!Context.Metadata.Budget)
-    co_return requireVersion(Context, *Program);
+  if (!Context.Metadata.Budget) {
+    co_return co_await requireVersion(Context, *Program);
+  }
   const bool Admitted =
       admits(Program->Charges, Turn, Context.Metadata.MaxTurnTokens,
              *Context.Metadata.Budget);
@@ -75,8 +76,9 @@
   if (!Admitted)
     co_return notRunError(ErrorKind::BudgetExceeded,
                           "the token budget of the program is spent");
-  if (Resumes)
-    co_return requireVersion(Context, *Program);
+  if (Resumes) {
+    co_return co_await requireVersion(Context, *Program);
+  }
   co_return std::nullopt;
 }
 
--- a/packages/relay/test/OriginsTest.cpp
+++ b/packages/relay/test/OriginsTest.cpp
@@ -200,6 +200,66 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// An entry that was cut off or stood still lists the only version of a while
+/// ago. Streams that began at a newer one went on at the old one there.
+BOOST_AUTO_TEST_SUITE(AtAnEntryThatIsOutOfStep)
+
+BOOST_AUTO_TEST_CASE(AreRefusedWhileItsListIsOlderThanThatOfTheLedgers) {
+  listVersions({"v1"});
+  CatalogAge = 5s;
+  LedgerListAge = 100ms;
+  const HttpResponse Response = resume("t2", "elsewhere");
+  BOOST_TEST(Response.Head.Status == 503);
+  // Another entry, or this one a little later, may know.
+  BOOST_TEST(Response.Head.Fields.has("Retry-After"));
+  BOOST_TEST(requestCount() == 0U);
+  BOOST_TEST(CatalogConfirmations == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AreRefusedIfTheCurrentListHasTwoVersions) {
+  listVersions({"v1"});
+  CatalogAge = 5s;
+  LedgerListAge = 100ms;
+  OnConfirmCatalog = [this] {
+    CatalogAge = 0s;
+    listVersions({"v1", "v2"});
+  };
+  checkIsRefused(resume("t2", "elsewhere"));
+  BOOST_TEST(requestCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(GoOnOnceItsListIsConfirmed) {
+  listVersions({"v1"});
+  Endpoints[0]->Responses = {{resumedStream(3, 4)}};
+  CatalogAge = 5s;
+  LedgerListAge = 100ms;
+  OnConfirmCatalog = [this] { CatalogAge = 0s; };
+  BOOST_TEST(resume("t2", "elsewhere").Head.Status == 200);
+}
+
+/// While the store is down all lists are equally old, and no endpoint joins.
+BOOST_AUTO_TEST_CASE(GoOnIfTheListsOfTheLedgersAreAsOld) {
+  listVersions({"v1"});
+  Endpoints[0]->Responses = {{resumedStream(3, 4)}};
+  CatalogAge = 5s;
+  LedgerListAge = 4900ms;
+  BOOST_TEST(resume("t2", "elsewhere").Head.Status == 200);
+  BOOST_TEST(CatalogConfirmations == 0);
+}
+
+/// The entry is suspended between its decision and the request that follows.
+BOOST_AUTO_TEST_CASE(AreNotSentIfItStoodStillSinceItsDecision) {
+  listVersions({"v1"});
+  Endpoints[0]->Responses = {{resumedStream(3, 4)}};
+  MeasureCatalogAge = [this] {
+    return Pool.opened() == 0 ? Duration(0s) : Duration(5s);
+  };
+  BOOST_TEST(resume("t2", "elsewhere").Head.Status == 503);
+  BOOST_TEST(requestCount() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhileAnEndpointIsReplacedUnderItsId)
 
 BOOST_AUTO_TEST_CASE(AreRefusedIfItMayHaveBegunThemAtEitherVersion) {
--- a/packages/relay/test/RelayFixture.h
+++ b/packages/relay/test/RelayFixture.h
@@ -355,8 +355,9 @@
     RelayOptions Result;
     Result.ProcessId = "entry";
     Result.CrashExchangeInterval = 50ms;
-    Result.Configuration = {[this] { return CatalogAge; }, 2500ms,
-                            [this](TimePoint) { return confirmCatalog(); }};
+    Result.Configuration = {
+        [this] { return MeasureCatalogAge ? MeasureCatalogAge() : CatalogAge; },
+        2500ms, [this](TimePoint) { return confirmCatalog(); }};
     Result.ListEndpoints = [this](TimePoint) { return listFromStore(); };
     return Result;
   }
@@ -379,6 +380,8 @@
   int EndpointListings = 0;
   /// How old the configuration is; empty if it was never confirmed.
   std::optional<Duration> CatalogAge = Duration(0);
+  /// Set if the age changes during a request.
+  std::function<std::optional<Duration>()> MeasureCatalogAge;
   /// The entry that callers use.
   std::string EntryAddress = "127.0.0.1:" + std::to_string(EntryPort);
   std::function<void()> OnConfirmCatalog;
--- a/packages/turns/include/tamarack/turns/Messages.h
+++ b/packages/turns/include/tamarack/turns/Messages.h
@@ -133,7 +133,7 @@
   std::optional<EndpointLoadReport> LoadReport;
   /// Set if the turn resumes a stream: the turn of the same program that began
   /// it, or an empty id if the caller names none. The response then carries
-  /// ResumedOrigin and OriginVersions.
+  /// ResumedOrigin, OriginVersions and EndpointListAge.
   std::optional<TurnId> ResumedTurn = {};
 };
 
@@ -153,6 +153,9 @@
   std::optional<StreamOrigin> ResumedOrigin = {};
   /// The versions at which streams began that may still be resumed.
   std::vector<ServiceVersion> OriginVersions = {};
+  /// The time since the ledger's list of endpoints was confirmed; set if the
+  /// request resumes a stream and the list ever was.
+  std::optional<Duration> EndpointListAge = {};
 };
 
 struct ChainRequest {
--- a/packages/turns/src/Messages.cpp
+++ b/packages/turns/src/Messages.cpp
@@ -128,10 +128,12 @@
   Value = Json::array({From.Refusal, From.ProgramAccount,
                        valueOrNull(From.NewerView), From.LastRanAt,
                        valueOrNull(From.NewsElsewhere)});
-  if (!From.ResumedOrigin && From.OriginVersions.empty())
+  if (!From.ResumedOrigin && From.OriginVersions.empty() &&
+      !From.EndpointListAge)
     return;
   Value.push_back(valueOrNull(From.ResumedOrigin));
   Value.push_back(From.OriginVersions);
+  Value.push_back(valueOrNull(From.EndpointListAge));
 }
 
 void from_json(const Json &Value, RecordResponse &To) {
@@ -142,10 +144,14 @@
   To.NewsElsewhere = readNullable<EndpointNews>(Value.at(4));
   To.ResumedOrigin.reset();
   To.OriginVersions.clear();
+  To.EndpointListAge.reset();
   if (Value.size() <= 5)
     return;
   To.ResumedOrigin = readNullable<StreamOrigin>(Value.at(5));
   Value.at(6).get_to(To.OriginVersions);
+  // Ledgers of earlier releases do not send it.
+  if (Value.size() > 7)
+    To.EndpointListAge = readNullable<Duration>(Value.at(7));
 }
 
 void to_json(Json &Value, const ChainRequest &From) {
