--- a/packages/quorum/include/tamarack/quorum/LedgerNode.h
+++ b/packages/quorum/include/tamarack/quorum/LedgerNode.h
@@ -76,7 +76,8 @@
   std::size_t Programs = 0;
   /// The bytes of text held in memory.
   std::size_t TextBytes = 0;
-  /// The number of turns that stored chains refer to and that this ledger lacks.
+  /// The number of turns that stored chains refer to and that this ledger
+  /// lacks.
   std::size_t MissedTurns = 0;
   std::uint64_t RecordsStored = 0;
   /// The number of records refused because of their view.
--- a/packages/quorum/include/tamarack/quorum/QuorumClient.h
+++ b/packages/quorum/include/tamarack/quorum/QuorumClient.h
@@ -49,8 +49,8 @@
   /// The versions at which streams began that may still be resumed; complete
   /// if the update resumed a stream, else empty.
   std::set<ServiceVersion> OriginVersions = {};
-  /// The time since any of the members last confirmed its list of endpoints; set
-  /// if the update resumed a stream and a member knows.
+  /// The time since any of the members last confirmed its list of endpoints;
+  /// set if the update resumed a stream and a member knows.
   std::optional<Duration> EndpointListAge = {};
 };
 
