Hold all turns that are asked for in an answer with links

A question now names 64 turns at most, and the answer has each of them with up to eight turns before it.

--- a/packages/quorum/src/LedgerCalls.cpp
+++ b/packages/quorum/src/LedgerCalls.cpp
@@ -9,8 +9,9 @@
 /// has nothing in flight.
 constexpr Duration LoadReportLifetime = std::chrono::seconds(2);
 
-/// The limit on records without text in one answer, some 20 KB.
-constexpr std::size_t LinksPerAnswer = 256;
+/// The limit on records without text for each turn that is asked for. The rest
+/// of a longer gap is asked for once these are known.
+constexpr std::size_t LinksPerTurn = 8;
 
 /// The limit on programs whose last endpoint is remembered; about one minute of
 /// programs on a busy day.
@@ -216,9 +217,7 @@
                                         const LinkServer::Reply &Answer) {
   FetchTurnsResponse Result;
   for (const TurnId &Turn : Body.get<std::vector<TurnId>>())
-    for (const TurnRecord &Record : Store.linksBefore(
-             Turn,
-             LinksPerAnswer - std::min(LinksPerAnswer, Result.Frames.size()))) {
+    for (const TurnRecord &Record : Store.linksBefore(Turn, LinksPerTurn)) {
       std::string Frame;
       Json::to_cbor(Json(Record), Frame);
       Result.Frames.push_back(std::move(Frame));
--- a/packages/quorum/src/LedgerRetention.cpp
+++ b/packages/quorum/src/LedgerRetention.cpp
@@ -11,8 +11,11 @@
 constexpr Duration RetentionInterval = std::chrono::seconds(1);
 /// The timeout of a question to another ledger.
 constexpr Duration CallTimeout = std::chrono::milliseconds(2500);
-/// Names in one question, some 20 KB.
+/// Names in a question about lifetimes, some 20 KB.
 constexpr std::size_t NamesPerQuestion = 512;
+/// Turns in a question for links. The answer holds all of them, as only then a
+/// turn that is not in it is known to be nowhere.
+constexpr std::size_t MissedTurnsPerQuestion = 64;
 
 /// Returns nothing if the call failed or the reply cannot be parsed.
 template <typename T>
@@ -55,8 +58,8 @@
   const std::size_t Needed = requiredAnswers(Of);
   if (Missed.empty() || Needed == 0)
     co_return;
-  if (Missed.size() > NamesPerQuestion)
-    Missed.resize(NamesPerQuestion);
+  if (Missed.size() > MissedTurnsPerQuestion)
+    Missed.resize(MissedTurnsPerQuestion);
   std::size_t Answers = 0;
   std::size_t Fetched = 0;
   for (const RecordHolder &Holder : otherHolders(Of)) {
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -367,6 +367,45 @@
   BOOST_TEST(Answer->get<FetchTurnsResponse>().Frames.size() == 5U);
 }
 
+/// An answer that is cut off must not make a turn look as if no ledger had it.
+BOOST_FIXTURE_TEST_CASE(AlsoIfItMissedMoreThanOneAnswerHolds, QuorumFixture) {
+  constexpr int Chains = 100;
+  const auto Name = [](const char *Prefix, int Number) {
+    return Prefix + std::to_string(Number);
+  };
+  startAll();
+  useCurrentView();
+  for (int Number = 0; Number < Chains; ++Number)
+    BOOST_REQUIRE(storeRecord(turn(Name("a", Number))));
+  stop(3);
+  for (int Number = 0; Number < Chains; ++Number)
+    BOOST_REQUIRE(storeRecord(turn(Name("b", Number), Name("a", Number))));
+  start(3);
+  std::vector<TurnId> Newest;
+  for (int Number = 0; Number < Chains; ++Number) {
+    Newest.emplace_back(Name("c", Number));
+    BOOST_REQUIRE(storeRecord(turn(Newest.back().text(), Name("b", Number))));
+  }
+  Io.run_for(1s);
+  until([this] { return Nodes[3]->status().MissedTurns == 0; });
+  const auto Link = LinkClient::make(
+      Io, options(3, /*FirstStart=*/false).Address, LinkOptions());
+  const Expected<Json> Answer = await(callLink(
+      Io, Link, calls::FetchLinks, encodeBody(Newest), steadyNow() + 2s));
+  BOOST_REQUIRE(Answer);
+  std::set<TurnId> Known;
+  for (const std::string &Frame : Answer->get<FetchTurnsResponse>().Frames)
+    Known.insert(Json::from_cbor(Frame).get<TurnRecord>().Turn);
+  // The ledger may not be connected yet when the first of them are stored.
+  int Received = 0;
+  for (int Number = 0; Number < Chains; ++Number)
+    if (Known.count(TurnId(Name("c", Number))) > 0) {
+      ++Received;
+      BOOST_TEST(Known.count(TurnId(Name("b", Number))) == 1U);
+    }
+  BOOST_TEST(Received > 70);
+}
+
 BOOST_FIXTURE_TEST_CASE(NotIfNoLedgerHasIt, QuorumFixture) {
   startAll();
   useCurrentView();
--- a/packages/turns/include/tamarack/turns/Messages.h
+++ b/packages/turns/include/tamarack/turns/Messages.h
@@ -33,7 +33,7 @@
 /// the call is repeated.
 inline constexpr const char *CatchUp = "absorb";
 /// Array of TurnId to FetchTurnsResponse: reads the records of these turns and
-/// of the turns before them, without texts; as many as fit into an answer.
+/// of some turns before each of them, without texts.
 inline constexpr const char *FetchLinks = "links";
 /// RecordNames to LifetimesResponse: how long the ledger keeps these records.
 inline constexpr const char *Lifetimes = "lifetimes";
