Go on fetching while the view changes in other places

Cause: each change of the view made a ledger that fetches list the records of all its sources again, 37,000 each, and so did one source that did not answer in time. After a loss of power with two lost disks the view changed three times within 4 s, the third time only because a ledger reported its former folder as lost. The three sources were busy with lists and answered neither pings nor records.

Ruled out: a wrong number of sources (three of three were needed and known), the questions about lifetimes (none was due), the load of the journals.

Now the sources that were fetched from count as long as no other holder comes in and no place is given up, a source that failed is asked alone, and a lost folder changes the view only if too few holders answer otherwise.

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -199,6 +199,7 @@
                                                  : ViewPollInterval));
     co_return;
   }
+  FetchesSince = {};
   const bool Done = co_await replaceView(Before, *Plan.Next, Plan.Reason);
   if (!Done) {
     // Another ledger may have changed the view first.
@@ -252,15 +253,24 @@
 }
 
 Task<bool> LedgerNode::Impl::fetchFromSources(View Of) {
+  if (!keepsSources(FetchesSince, Of)) {
+    FetchesSince = Of;
+    FetchedFrom.clear();
+  }
   const std::size_t Needed = requiredSources(Of, Options.DurableCopies);
   std::size_t Complete = 0;
   for (const RecordHolder &Source : otherHolders(Of)) {
     if (Complete == Needed || CurrentView.Number != Of.Number)
       break;
-    RecordSource From{Source.Address, Source.Folder};
-    const bool Fetched = co_await fetchFromMember(std::move(From), Of);
-    if (Fetched)
+    bool Fetched = FetchedFrom.count(Source.Folder) > 0;
+    if (!Fetched) {
+      RecordSource From{Source.Address, Source.Folder};
+      Fetched = co_await fetchFromMember(std::move(From), Of);
+    }
+    if (Fetched) {
+      FetchedFrom.insert(Source.Folder);
       ++Complete;
+    }
   }
   co_return Complete == Needed &&CurrentView.Number == Of.Number;
 }
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -71,6 +71,11 @@
   /// Members that keep their connection but do not answer pings, and since
   /// when.
   std::map<FolderId, TimePoint> UnresponsiveSince;
+  /// The view in which this ledger began to fetch, and the record holders that
+  /// it has fetched from since. A view that changes elsewhere does not make it
+  /// fetch again: what is acknowledged meanwhile does not rely on this ledger.
+  View FetchesSince;
+  std::set<FolderId> FetchedFrom;
   /// Members that hold all records that this one had when it left the view.
   std::set<FolderId> CaughtUpMembers;
   /// The fetches on behalf of retiring members, by the folder of the member:
--- a/packages/turns/include/tamarack/turns/View.h
+++ b/packages/turns/include/tamarack/turns/View.h
@@ -100,6 +100,12 @@
 /// allow for; at least one.
 std::size_t requiredSources(const View &Of, std::size_t DurableCopies);
 
+/// Returns whether what a ledger has fetched since \p Before counts in \p
+/// After: both have as many places, and no other record holders have come in.
+/// Then the change concerns only places of ledgers that have not joined, or
+/// lost folders.
+bool keepsSources(const View &Before, const View &After);
+
 /// What a deployment requires of its views.
 struct ViewRules {
   /// The number of members that a view should have.
--- a/packages/turns/src/View.cpp
+++ b/packages/turns/src/View.cpp
@@ -191,6 +191,17 @@
       1, std::min(recordHolders(Of).size(), Members - Copies + 1));
 }
 
+bool keepsSources(const View &Before, const View &After) {
+  const std::vector<RecordHolder> Known = recordHolders(Before);
+  const std::vector<RecordHolder> Holders = recordHolders(After);
+  return Before.Members.size() == After.Members.size() &&
+         std::all_of(Holders.begin(), Holders.end(),
+                     [&](const RecordHolder &Holder) {
+                       return std::find(Known.begin(), Known.end(), Holder) !=
+                              Known.end();
+                     });
+}
+
 bool isForming(const View &Of, const ViewRules &Rules) {
   return Rules.FirstStart && Of.Number == Of.Members.size() &&
          Of.Members.size() < Rules.TargetMembers;
@@ -203,8 +214,10 @@
     return {{}, {}, "already a member"};
   if (std::optional<View> Next = withPredecessorBack(Current, Self))
     return {std::move(Next), {}, "takes its place again"};
-  if (std::optional<View> Next = withoutLostPredecessor(Current, Self.Instance))
-    return {std::move(Next), {}, "reports the loss of its former folder"};
+  // Only if it matters: a change of the view interrupts those that fetch.
+  if (!hasEnoughSources(Current, Unreachable, Rules.DurableCopies))
+    if (auto Next = withoutLostPredecessor(Current, Self.Instance))
+      return {std::move(Next), {}, "reports the loss of its former folder"};
   const ViewMember *ToReplace = memberToReplace(Current, Self, Unreachable);
   if (ToReplace == nullptr && Current.Members.size() >= Rules.TargetMembers)
     return {{}, {}, "on standby: the view is full"};
--- a/packages/turns/test/ViewHistoryTest.cpp
+++ b/packages/turns/test/ViewHistoryTest.cpp
@@ -24,9 +24,9 @@
   bool IsUp = true;
   bool IsFirstStart = true;
   bool IsRetiring = false;
-  /// The sources fetched from while the view has the number FetchedIn.
+  /// The sources fetched from since the view was this one.
   std::set<FolderId> Fetched;
-  std::uint64_t FetchedIn = 0;
+  View FetchesSince;
   /// The members that have fetched from this ledger since it began to leave.
   std::set<FolderId> CaughtUp;
 };
@@ -60,7 +60,7 @@
       Of.IsRetiring = false;
     }
     Of.IsFirstStart = false;
-    Of.Fetched.clear();
+    Of.FetchesSince = {};
     Of.CaughtUp.clear();
   }
 
@@ -202,18 +202,27 @@
         Unreachable.insert(Listed[Index].Folder);
     const JoinPlan Plan = planJoin(Current, Of.Self, Unreachable,
                                    {Members, Losses + 1, Of.IsFirstStart});
-    if (Plan.Next)
-      change(Of, *Plan.Next);
+    if (!Plan.Next)
+      return;
+    Of.FetchesSince = {};
+    change(Of, *Plan.Next);
   }
 
   void fetch(Ledger &Of, std::size_t Choice) {
-    if (std::exchange(Of.FetchedIn, Current.Number) != Current.Number)
+    if (!keepsSources(Of.FetchesSince, Current)) {
+      Of.FetchesSince = Current;
       Of.Fetched.clear();
-    if (Of.Fetched.size() >= requiredSources(Current, Losses + 1)) {
+    }
+    const auto Holders = recordHolders(Current);
+    const auto Complete = std::count_if(
+        Holders.begin(), Holders.end(), [&](const RecordHolder &Holder) {
+          return Of.Fetched.count(Holder.Folder) > 0;
+        });
+    if (static_cast<std::size_t>(Complete) >=
+        requiredSources(Current, Losses + 1)) {
       change(Of, withMemberJoined(Current, Of.Self.Folder));
       return;
     }
-    const auto Holders = recordHolders(Current);
     if (Holders.empty())
       return;
     const FolderId &Source = Holders[Choice % Holders.size()].Folder;
--- a/packages/turns/test/ViewTest.cpp
+++ b/packages/turns/test/ViewTest.cpp
@@ -204,8 +204,12 @@
 BOOST_AUTO_TEST_CASE(ForgetsItWhenItsFolderIsKnownToBeLost) {
   ViewMember Returned = member("1", false);
   Returned.Folder = FolderId("fresh");
-  const JoinPlan Plan = planJoin(replaced(), Returned, {}, DefaultRules);
+  const JoinPlan Plan =
+      planJoin(replaced(), Returned, {FolderA, FolderB}, DefaultRules);
   BOOST_TEST(describe(Plan) == "2 3 4? ");
+  // Without need, the change would only interrupt the ledger that fetches.
+  BOOST_TEST(describe(planJoin(replaced(), Returned, {FolderA},
+                               DefaultRules)) == "none");
   BOOST_TEST(recordHolders(*Plan.Next).size() == 2U);
   BOOST_TEST(Plan.Next->Number == replaced().Number + 1);
   BOOST_TEST(describe(planJoin(*Plan.Next, Returned, {}, DefaultRules)) ==
