Share what asks a view for holders and joined members

The status of a ledger, which each round of the mirror asks for, built and sorted the list of missed turns only to count it; it takes the count itself.

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -57,19 +57,6 @@
       });
 }
 
-bool holdsRecords(const View &Of, const FolderId &Folder) {
-  const std::vector<RecordHolder> Holders = recordHolders(Of);
-  return std::any_of(
-      Holders.begin(), Holders.end(),
-      [&](const RecordHolder &Holder) { return Holder.Folder == Folder; });
-}
-
-std::size_t joinedCount(const View &Of) {
-  return static_cast<std::size_t>(
-      std::count_if(Of.Members.begin(), Of.Members.end(),
-                    [](const ViewMember &Member) { return Member.Joined; }));
-}
-
 } // namespace
 
 ViewMember LedgerNode::Impl::self() const {
--- a/packages/quorum/src/LedgerNode.cpp
+++ b/packages/quorum/src/LedgerNode.cpp
@@ -161,7 +161,7 @@
           Inner->Store.storedTurnCount(),
           Inner->Store.programCount(),
           Inner->Store.textBytes(),
-          Inner->Store.missedTurns().size(),
+          Inner->Store.missedTurnCount(),
           Inner->RecordsStored,
           Inner->Refused};
 }
--- a/packages/quorum/src/LedgerRetention.cpp
+++ b/packages/quorum/src/LedgerRetention.cpp
@@ -2,8 +2,6 @@
 
 #include "tamarack/net/Log.h"
 
-#include <algorithm>
-
 namespace tamarack {
 namespace {
 
@@ -35,12 +33,9 @@
 } // namespace
 
 std::size_t LedgerNode::Impl::requiredAnswers(const View &Of) const {
-  const std::vector<RecordHolder> Holders = recordHolders(Of);
-  const bool IsHolder = std::any_of(Holders.begin(), Holders.end(),
-                                    [this](const RecordHolder &Holder) {
-                                      return Holder.Folder == Log->folderId();
-                                    });
-  return IsHolder ? requiredSources(Of, Options.DurableCopies) - 1 : 0;
+  return holdsRecords(Of, Log->folderId())
+             ? requiredSources(Of, Options.DurableCopies) - 1
+             : 0;
 }
 
 Task<void> LedgerNode::Impl::runRetention() {
--- a/packages/quorum/src/QuorumClient.cpp
+++ b/packages/quorum/src/QuorumClient.cpp
@@ -145,9 +145,7 @@
   LogLine("ledgers.view")
       .with("number", Next.Number)
       .with("members", Next.Members.size())
-      .with("joined",
-            std::count_if(Next.Members.begin(), Next.Members.end(),
-                          [](const ViewMember &M) { return M.Joined; }));
+      .with("joined", joinedCount(Next));
 }
 
 std::shared_ptr<LinkClient>
--- a/packages/turns/include/tamarack/turns/TurnStore.h
+++ b/packages/turns/include/tamarack/turns/TurnStore.h
@@ -179,6 +179,7 @@
   /// later turn of the chain is, so that the turns before them are not kept as
   /// long as the chain.
   std::vector<TurnId> missedTurns() const;
+  std::size_t missedTurnCount() const;
   /// Stops waiting for the records of \p Turns, which no ledger has.
   void forgetMissed(const std::vector<TurnId> &Turns);
   /// Returns the record of \p Last and of the turns before it, newest first and
--- a/packages/turns/include/tamarack/turns/View.h
+++ b/packages/turns/include/tamarack/turns/View.h
@@ -92,6 +92,10 @@
 /// Returns the record holders of all places: joined and leaving members, and
 /// predecessors of members that have not joined yet.
 std::vector<RecordHolder> recordHolders(const View &Of);
+/// Returns whether the ledger with this folder is a record holder.
+bool holdsRecords(const View &Of, const FolderId &Folder);
+/// Returns the number of joined members.
+std::size_t joinedCount(const View &Of);
 /// Returns all members and all predecessors.
 std::vector<RecordHolder> listedLedgers(const View &Of);
 /// Returns how many record holders of \p Of a ledger must fetch from to be sure
--- a/packages/turns/src/TurnStore.cpp
+++ b/packages/turns/src/TurnStore.cpp
@@ -394,6 +394,8 @@
   return Result;
 }
 
+std::size_t TurnStore::missedTurnCount() const { return Inner->Missed.size(); }
+
 void TurnStore::forgetMissed(const std::vector<TurnId> &Turns) {
   for (const TurnId &Turn : Turns)
     Inner->Missed.erase(Turn.text());
--- a/packages/turns/test/ViewHistoryTest.cpp
+++ b/packages/turns/test/ViewHistoryTest.cpp
@@ -141,11 +141,6 @@
     }
   }
 
-  std::size_t joinedCount() const {
-    return static_cast<std::size_t>(
-        std::count_if(Current.Members.begin(), Current.Members.end(),
-                      [](const ViewMember &Member) { return Member.Joined; }));
-  }
   std::size_t acknowledgedCount() const { return Acknowledged.size(); }
 
 private:
@@ -243,15 +238,11 @@
   void retire(Ledger &Of, std::size_t Choice) {
     const ViewMember *Member = findMember(Current, Of.Self.Folder);
     if (Member != nullptr && Member->Joined) {
-      if (joinedCount() - 1 >= Losses + 1)
+      if (joinedCount(Current) - 1 >= Losses + 1)
         change(Of, withMemberLeaving(Current, Of.Self.Folder));
       return;
     }
-    const auto Holders = recordHolders(Current);
-    if (std::none_of(Holders.begin(), Holders.end(),
-                     [&](const RecordHolder &Holder) {
-                       return Holder.Folder == Of.Self.Folder;
-                     }))
+    if (!holdsRecords(Current, Of.Self.Folder))
       return;
     const ViewMember &Next = Current.Members[Choice % Current.Members.size()];
     Ledger *To = findUp(Next.Folder);
@@ -265,7 +256,8 @@
                       return !Each.Joined || Of.CaughtUp.count(Each.Folder) > 0;
                     });
     const View Without = withoutHolder(Current, Of.Self.Folder);
-    if (AllCaughtUp && joinedCount() >= requiredCopies(Without, Losses + 1))
+    if (AllCaughtUp &&
+        joinedCount(Current) >= requiredCopies(Without, Losses + 1))
       change(Of, Without);
   }
 
