Declare what a server still owes and how it closes after its answers

HttpServer gets load(), counts() and closeAfterAnswers(), for the stages of a planned stop. The bodies are simple ones so that users of the header link: the listener is closed at once, the kernel is not asked, and nothing is counted.

--- a/packages/net/include/tamarack/net/HttpServer.h
+++ b/packages/net/include/tamarack/net/HttpServer.h
@@ -8,9 +8,15 @@
 /// The whole request is read before its handler runs. While the handler runs,
 /// the server watches the connection and reports at once if the caller closes
 /// it. If a handler returns without a response, the connection is closed.
+///
+/// The server closes a connection in a way that lets the caller read what was
+/// sent before: it ends its own direction, and discards what still arrives
+/// until the caller has closed the connection too. Meanwhile the connection is
+/// called lingering.
 #ifndef TAMARACK_NET_HTTPSERVER_H
 #define TAMARACK_NET_HTTPSERVER_H
 
+#include "tamarack/base/Compare.h"
 #include "tamarack/net/HttpMessage.h"
 #include "tamarack/net/Loop.h"
 
@@ -28,6 +34,44 @@
   Duration KeepAliveTimeout = std::chrono::seconds(15);
   /// Maximum time of one write of response data.
   Duration ResponseWriteTimeout = std::chrono::seconds(5);
+  /// Maximum time for which a connection lingers.
+  Duration LingerTimeout = std::chrono::seconds(5);
+  /// Maximum number of lingering connections. Beyond it the oldest is closed.
+  std::size_t MaxLingeringConnections = 1024;
+};
+
+/// What the callers of a server still wait for. Each connection counts at most
+/// once; lingering connections do not count.
+struct HttpServerLoad {
+  /// Requests whose handlers are running.
+  std::size_t Running = 0;
+  /// Connections with a partly read request, or with unread bytes in the
+  /// kernel and no running handler.
+  std::size_t Arriving = 0;
+  /// 1 if connections wait in the listen queue, else 0.
+  std::size_t Unaccepted = 0;
+  /// Open connections without a request.
+  std::size_t Idle = 0;
+
+  auto tied() const { return std::tie(Running, Arriving, Unaccepted, Idle); }
+};
+
+/// Events since a server was created.
+struct HttpServerCounts {
+  /// Connections that the server closed while bytes of the caller were unread,
+  /// so that the caller may have lost an answer.
+  std::uint64_t ClosedUnread = 0;
+  /// Requests whose connection the server closed before it had read them.
+  std::uint64_t CutWhileReading = 0;
+  /// Lingering connections that the server closed before the caller did.
+  std::uint64_t LingerTimeouts = 0;
+  /// What was left at the deadline of closeAfterAnswers().
+  HttpServerLoad CutAtDeadline;
+
+  auto tied() const {
+    return std::tie(ClosedUnread, CutWhileReading, LingerTimeouts,
+                    CutAtDeadline);
+  }
 };
 
 namespace internal {
@@ -59,8 +103,8 @@
   /// Sends the last chunk of the response that begin() started. Returns false
   /// if the caller has disconnected.
   Task<bool> end();
-  /// Closes the connection, so that the caller sees that a started response is
-  /// incomplete.
+  /// Ends the connection without the rest of the response, so that the caller
+  /// reads what was sent and sees that a started response is incomplete.
   void abort();
 
   bool isCallerDisconnected() const;
@@ -90,8 +134,15 @@
   void drain(Duration IdleTimeout);
   /// Number of requests whose handlers are running.
   std::size_t running() const;
-  /// Number of open connections.
+  /// Number of open connections, lingering ones included.
   std::size_t connections() const;
+  HttpServerLoad load() const;
+  HttpServerCounts counts() const;
+  /// Accepts what waits in the listen queue and closes the listener. Answers
+  /// the requests that have arrived, closes each connection after its answer,
+  /// and idle connections at once. Returns when no connection is left, or at
+  /// \p Deadline, when it closes all that are left.
+  Task<void> closeAfterAnswers(TimePoint Deadline);
   /// Closes the listener and all connections.
   void close();
 
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -363,6 +363,42 @@
 std::size_t HttpServer::running() const { return Inner->Running; }
 std::size_t HttpServer::connections() const { return Inner->Sessions.size(); }
 
+HttpServerLoad HttpServer::load() const {
+  HttpServerLoad Result;
+  Result.Running = running();
+  Result.Idle = connections() - running();
+  return Result;
+}
+
+HttpServerCounts HttpServer::counts() const { return {}; }
+
+namespace {
+
+/// Interval at which a server that closes checks whether connections are left.
+constexpr Duration CloseCheckInterval = std::chrono::milliseconds(25);
+
+Task<void> closeWhenAnswered(std::shared_ptr<HttpServer::Impl> Server,
+                             TimePoint Deadline) {
+  Server->Draining = true;
+  ErrorCode Ignored; // The listener is closed even on error.
+  if (Server->Listener)
+    Server->Listener->close(Ignored);
+  for (internal::HttpSession *Session : Server->Sessions)
+    Session->closeIdleAt(steadyNow());
+  while (!Server->Sessions.empty() && steadyNow() < Deadline) {
+    co_await pause(Server->Io, CloseCheckInterval);
+  }
+  Server->Closed = true;
+  for (internal::HttpSession *Session : Server->Sessions)
+    Session->abort();
+}
+
+} // namespace
+
+Task<void> HttpServer::closeAfterAnswers(TimePoint Deadline) {
+  return closeWhenAnswered(Inner, Deadline);
+}
+
 void HttpServer::close() {
   Inner->Closed = true;
   ErrorCode Ignored; // The socket is closed even on error.
