Close no connection by the clock while something waits in its socket

What callers saw: a request without an answer, its connection reset, on a kept connection of a server whose process had stood still or was busy.

Cause: the check of timeouts closed each connection whose deadline had passed, without a look at its socket. After a stall the deadlines of many connections have passed before the loop has read what arrived meanwhile: Asio takes 128 ready sockets at a time and runs the due timers before the others, and a request may also arrive between the poll and the check. The idle timeout, the shorter one of a server that drains, and the limits for reading a request and for writing a response were affected.

Now the check asks the kernel whether the pending read or write could go on, and if so leaves the connection to it. The limits for reading and writing are extended by the time for which the check was late, since the caller could not make progress then. Requests that are cut while they are read are counted.

--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "HttpSession.h"
 
+#include <algorithm>
+
 #include <utility>
 
 namespace tamarack {
@@ -42,12 +44,13 @@
   }(std::move(Session)));
 }
 
-Task<void> HttpServer::Impl::sweep() {
+Task<void> HttpServer::Impl::sweepPeriodically() {
   while (!Closed) {
+    const TimePoint Due = steadyNow() + SweepInterval;
     co_await pause(Io, SweepInterval);
     const TimePoint Now = steadyNow();
     for (internal::HttpSession *Session : Sessions)
-      Session->sweep(Now);
+      Session->sweep(Now, std::max(Now - Due, Duration(0)));
   }
 }
 
@@ -68,7 +71,7 @@
     co_await acceptLoop(*Self->Listener, std::move(Accepted));
   }(Inner));
   spawn(Inner->Io, [](std::shared_ptr<Impl> Self) -> Task<void> {
-    co_await Self->sweep();
+    co_await Self->sweepPeriodically();
   }(Inner));
   return {};
 }
@@ -94,7 +97,7 @@
   return Result;
 }
 
-HttpServerCounts HttpServer::counts() const { return {}; }
+HttpServerCounts HttpServer::counts() const { return Inner->Counts; }
 
 namespace {
 
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace tamarack::internal {
@@ -52,6 +53,24 @@
   configureSocket(this->Socket, CallerAckTimeout);
 }
 
+void HttpSession::sweep(TimePoint Now, Duration Stalled) {
+  if (Phase != SessionPhase::Idle && Deadline != TimePoint::max())
+    Deadline += Stalled;
+  if (!Socket.is_open() || Now <= Deadline || canContinue())
+    return;
+  if (Phase == SessionPhase::Reading)
+    ++Server->Counts.CutWhileReading;
+  abort();
+}
+
+/// Whether the pending read or write is ready in the kernel. The loop may not
+/// have noticed yet.
+bool HttpSession::canContinue() {
+  const short Event = Writing ? POLLOUT : POLLIN;
+  pollfd Query{Socket.native_handle(), Event, 0};
+  return ::poll(&Query, 1, 0) > 0;
+}
+
 Task<void> HttpSession::run() {
   Server->Sessions.insert(this);
   while (!Server->Closed) {
@@ -71,7 +90,7 @@
   Parser Reader;
   Reader.header_limit(static_cast<std::uint32_t>(Limits.MaxRequestHeadBytes));
   Reader.body_limit(Limits.MaxRequestBodyBytes);
-  Idle = true;
+  Phase = SessionPhase::Idle;
   Deadline = steadyNow() + Limits.KeepAliveTimeout;
   ErrorCode Failure;
   if (Buffer.size() == 0) {
@@ -79,7 +98,7 @@
     if (Failure)
       co_return false;
   }
-  Idle = false;
+  Phase = SessionPhase::Reading;
   Deadline = steadyNow() + Limits.RequestReadTimeout;
   co_await http::async_read_header(Socket, Buffer, Reader,
                                    storeErrorIn(Failure));
@@ -111,6 +130,7 @@
 }
 
 Task<void> HttpSession::refuseRequest(int Status) {
+  Phase = SessionPhase::Answering;
   HttpHead Head{Status, {}};
   Head.Fields.add("Content-Length", "0");
   Head.Fields.add("Connection", "close");
@@ -124,6 +144,7 @@
   ResponseSent = false;
   CallerDisconnected = false;
   PendingHead.clear();
+  Phase = SessionPhase::Answering;
   ++Server->Running;
   watchForDisconnect();
   HttpExchange Exchange(*this);
@@ -168,8 +189,10 @@
   if (CallerDisconnected || !Socket.is_open())
     co_return false;
   Deadline = steadyNow() + Server->Limits.ResponseWriteTimeout;
+  Writing = true;
   ErrorCode Failure;
   co_await asio::async_write(Socket, asio::buffer(Text), storeErrorIn(Failure));
+  Writing = false;
   Deadline = TimePoint::max();
   if (Failure)
     handleDisconnect();
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -18,7 +18,7 @@
       : Io(Io), Limits(Limits), Handle(std::move(Handle)) {}
 
   void accepted(Tcp::socket Socket);
-  Task<void> sweep();
+  Task<void> sweepPeriodically();
 
   Loop &Io;
   HttpServerLimits Limits;
@@ -28,22 +28,32 @@
   std::size_t Running = 0;
   bool Draining = false;
   bool Closed = false;
+  HttpServerCounts Counts;
 };
 
 namespace internal {
 
+enum class SessionPhase {
+  /// Waits for the first byte of a request.
+  Idle,
+  /// Reads a request.
+  Reading,
+  /// Runs the handler or refuses the request.
+  Answering,
+};
+
 /// One connection of a caller.
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
 public:
   HttpSession(std::shared_ptr<HttpServer::Impl> Server, Tcp::socket Socket);
 
   Task<void> run();
-  void sweep(TimePoint Now) {
-    if (Deadline < Now)
-      abort();
-  }
+  /// Closes the connection if its timeout has passed at \p Now and its pending
+  /// read or write cannot continue. \p Stalled is for how long the loop did not
+  /// run since the last call.
+  void sweep(TimePoint Now, Duration Stalled);
   void closeIdleAt(TimePoint Time) {
-    if (Idle)
+    if (Phase == SessionPhase::Idle)
       Deadline = std::min(Deadline, Time);
   }
 
@@ -69,14 +79,16 @@
   Task<void> handleRequest();
   void watchForDisconnect();
   void handleDisconnect();
+  bool canContinue();
   Task<bool> write(std::string Text);
 
   std::shared_ptr<HttpServer::Impl> Server;
   Tcp::socket Socket;
   boost::beast::flat_buffer Buffer;
-  /// When sweep() closes the connection.
+  /// When sweep() may close the connection.
   TimePoint Deadline = TimePoint::max();
-  bool Idle = true;
+  SessionPhase Phase = SessionPhase::Idle;
+  bool Writing = false;
   bool KeepAlive = true;
   bool ResponseSent = false;
   bool Watching = false;
