Limit the time for a body that follows an interim response

Found while reading the timeouts: after "100 Continue" the read of the body had no time limit, since the write of the interim response cleared the deadline of the request. A caller that never sent its body held the connection forever, and in a planned stop the server would have waited for it.

A write now puts back the deadline that it found. The test on the code before: check runUntil([&] { Client.receive(); return Client.isEnded(); }) has failed.

--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -134,7 +134,6 @@
   HttpHead Head{Status, {}};
   Head.Fields.add("Content-Length", "0");
   Head.Fields.add("Connection", "close");
-  Deadline = steadyNow() + Server->Limits.ResponseWriteTimeout;
   std::string Text = encodeHead(Head);
   co_await write(std::move(Text));
 }
@@ -188,12 +187,13 @@
 Task<bool> HttpSession::write(std::string Text) {
   if (CallerDisconnected || !Socket.is_open())
     co_return false;
-  Deadline = steadyNow() + Server->Limits.ResponseWriteTimeout;
+  const TimePoint ReadDeadline = std::exchange(
+      Deadline, steadyNow() + Server->Limits.ResponseWriteTimeout);
   Writing = true;
   ErrorCode Failure;
   co_await asio::async_write(Socket, asio::buffer(Text), storeErrorIn(Failure));
   Writing = false;
-  Deadline = TimePoint::max();
+  Deadline = ReadDeadline;
   if (Failure)
     handleDisconnect();
   co_return !Failure;
--- a/packages/net/test/HttpServerConnectionsTest.cpp
+++ b/packages/net/test/HttpServerConnectionsTest.cpp
@@ -154,6 +154,19 @@
   BOOST_TEST(Server.counts().CutWhileReading == 1U);
 }
 
+/// Guards against a request without time limit after an interim response.
+BOOST_FIXTURE_TEST_CASE(IsCutIfItsBodyDoesNotFollowTheInterimResponse,
+                        ShortTimeouts) {
+  RawClient Client(ServerPort);
+  Client.sendAll("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+                 "Expect: 100-continue\r\n\r\n");
+  BOOST_TEST(runUntil([&] {
+    Client.receive();
+    return Client.isEnded();
+  }));
+  BOOST_TEST(Client.receive().substr(0, 12) == "HTTP/1.1 100");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
