--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -54,6 +54,14 @@
   }
 }
 
+void HttpServer::Impl::limitLingering() {
+  // A closed connection leaves the list once its coroutine has ended.
+  auto Oldest = Lingering.begin();
+  for (std::size_t Count = Lingering.size();
+       Count > Limits.MaxLingeringConnections; --Count)
+    (*Oldest++)->close();
+}
+
 HttpServer::HttpServer(Loop &Io, HttpServerLimits Limits, Handler Handle)
     : Inner(std::make_shared<Impl>(Io, Limits, std::move(Handle))) {}
 
@@ -117,7 +125,7 @@
   }
   Server->Closed = true;
   for (internal::HttpSession *Session : Server->Sessions)
-    Session->abort();
+    Session->close();
 }
 
 } // namespace
@@ -132,7 +140,7 @@
   if (Inner->Listener)
     Inner->Listener->close(Ignored);
   for (internal::HttpSession *Session : Inner->Sessions)
-    Session->abort();
+    Session->close();
 }
 
 } // namespace tamarack
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace tamarack::internal {
@@ -56,11 +57,12 @@
 void HttpSession::sweep(TimePoint Now, Duration Stalled) {
   if (Phase != SessionPhase::Idle && Deadline != TimePoint::max())
     Deadline += Stalled;
-  if (!Socket.is_open() || Now <= Deadline || canContinue())
+  const bool IsBounded = Phase == SessionPhase::Lingering;
+  if (!Socket.is_open() || Now <= Deadline || (!IsBounded && canContinue()))
     return;
   if (Phase == SessionPhase::Reading)
     ++Server->Counts.CutWhileReading;
-  abort();
+  close();
 }
 
 /// Whether the pending read or write is ready in the kernel. The loop may not
@@ -71,21 +73,51 @@
   return ::poll(&Query, 1, 0) > 0;
 }
 
+std::size_t HttpSession::unreadBytes() {
+  int Count = 0;
+  if (::ioctl(Socket.native_handle(), FIONREAD, &Count) != 0)
+    return 0;
+  return static_cast<std::size_t>(Count);
+}
+
 Task<void> HttpSession::run() {
   Server->Sessions.insert(this);
   while (!Server->Closed) {
-    const bool Complete = co_await readRequest();
-    if (!Complete)
+    const ReadOutcome Outcome = co_await readRequest();
+    if (Outcome == ReadOutcome::Disconnected)
+      CallerDisconnected = true;
+    if (Outcome != ReadOutcome::Complete)
       break;
     co_await handleRequest();
     if (!ResponseSent || !KeepAlive || CallerDisconnected)
       break;
   }
-  abort();
+  if (!CallerDisconnected) {
+    co_await linger();
+  }
+  close();
   Server->Sessions.erase(this);
 }
 
-Task<bool> HttpSession::readRequest() {
+/// If the socket were closed while the caller still sends, the kernel would
+/// reset the connection, which destroys what the caller has not read yet.
+Task<void> HttpSession::linger() {
+  Phase = SessionPhase::Lingering;
+  Deadline = steadyNow() + Server->Limits.LingerTimeout;
+  Buffer = boost::beast::flat_buffer();
+  const auto Position = Server->Lingering.insert(Server->Lingering.end(), this);
+  Server->limitLingering();
+  ErrorCode Failure;
+  Socket.shutdown(Tcp::socket::shutdown_send, Failure);
+  while (!Failure) {
+    co_await Socket.async_read_some(asio::buffer(Server->Discarded),
+                                    storeErrorIn(Failure));
+  }
+  Server->Lingering.erase(Position);
+  CallerDisconnected = true;
+}
+
+Task<ReadOutcome> HttpSession::readRequest() {
   const HttpServerLimits &Limits = Server->Limits;
   Parser Reader;
   Reader.header_limit(static_cast<std::uint32_t>(Limits.MaxRequestHeadBytes));
@@ -96,7 +128,7 @@
   if (Buffer.size() == 0) {
     co_await Socket.async_wait(Tcp::socket::wait_read, storeErrorIn(Failure));
     if (Failure)
-      co_return false;
+      co_return ReadOutcome::Disconnected;
   }
   Phase = SessionPhase::Reading;
   Deadline = steadyNow() + Limits.RequestReadTimeout;
@@ -110,10 +142,10 @@
     co_await http::async_read(Socket, Buffer, Reader, storeErrorIn(Failure));
   }
   if (Failure) {
-    if (isMalformed(Failure)) {
-      co_await refuseRequest(statusOf(Failure));
-    }
-    co_return false;
+    if (!isMalformed(Failure))
+      co_return ReadOutcome::Disconnected;
+    co_await refuseRequest(statusOf(Failure));
+    co_return ReadOutcome::Refused;
   }
   auto Message = Reader.release();
   KeepAlive = Message.keep_alive();
@@ -126,7 +158,7 @@
   Request.Fields.erase("Expect");
   RequestReadAt = steadyNow();
   Deadline = TimePoint::max();
-  co_return true;
+  co_return ReadOutcome::Complete;
 }
 
 Task<void> HttpSession::refuseRequest(int Status) {
@@ -185,7 +217,7 @@
 }
 
 Task<bool> HttpSession::write(std::string Text) {
-  if (CallerDisconnected || !Socket.is_open())
+  if (CallerDisconnected || Aborted || !Socket.is_open())
     co_return false;
   const TimePoint ReadDeadline = std::exchange(
       Deadline, steadyNow() + Server->Limits.ResponseWriteTimeout);
@@ -231,6 +263,20 @@
 }
 
 void HttpSession::abort() {
+  if (std::exchange(Aborted, true))
+    return;
+  ErrorCode Ignored; // If the connection is lost, nothing is left to end.
+  Socket.cancel(Ignored);
+  Socket.shutdown(Tcp::socket::shutdown_send, Ignored);
+}
+
+void HttpSession::close() {
+  if (!Socket.is_open())
+    return;
+  if (!CallerDisconnected && unreadBytes() > 0)
+    ++Server->Counts.ClosedUnread;
+  if (!CallerDisconnected && Phase == SessionPhase::Lingering)
+    ++Server->Counts.LingerTimeouts;
   ErrorCode Ignored; // The socket is closed even on error.
   Socket.close(Ignored);
 }
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -4,6 +4,8 @@
 
 #include "tamarack/net/HttpServer.h"
 
+#include <array>
+#include <list>
 #include <optional>
 #include <unordered_set>
 
@@ -19,6 +21,8 @@
 
   void accepted(Tcp::socket Socket);
   Task<void> sweepPeriodically();
+  /// Closes the oldest lingering connections if there are too many.
+  void limitLingering();
 
   Loop &Io;
   HttpServerLimits Limits;
@@ -29,6 +33,10 @@
   bool Draining = false;
   bool Closed = false;
   HttpServerCounts Counts;
+  /// The lingering connections, the oldest first.
+  std::list<internal::HttpSession *> Lingering;
+  /// Where lingering connections read to; nobody looks at it.
+  std::array<char, 16U << 10U> Discarded{};
 };
 
 namespace internal {
@@ -40,6 +48,16 @@
   Reading,
   /// Runs the handler or refuses the request.
   Answering,
+  /// Has ended its own direction, and reads until the caller closes.
+  Lingering,
+};
+
+enum class ReadOutcome {
+  Complete,
+  /// The request was refused; more of it may arrive.
+  Refused,
+  /// The caller has disconnected, or the connection was closed.
+  Disconnected,
 };
 
 /// One connection of a caller.
@@ -63,6 +81,8 @@
   Task<bool> sendChunk(std::string_view Data);
   Task<bool> end();
   void abort();
+  /// Closes the connection without waiting for the caller.
+  void close();
 
   HttpRequest Request;
   TimePoint RequestReadAt;
@@ -74,12 +94,14 @@
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-  Task<bool> readRequest();
+  Task<ReadOutcome> readRequest();
   Task<void> refuseRequest(int Status);
   Task<void> handleRequest();
+  Task<void> linger();
   void watchForDisconnect();
   void handleDisconnect();
   bool canContinue();
+  std::size_t unreadBytes();
   Task<bool> write(std::string Text);
 
   std::shared_ptr<HttpServer::Impl> Server;
@@ -91,6 +113,7 @@
   bool Writing = false;
   bool KeepAlive = true;
   bool ResponseSent = false;
+  bool Aborted = false;
   bool Watching = false;
   std::string PendingHead;
 };
--- a/packages/net/test/HttpServerConnectionsTest.cpp
+++ b/packages/net/test/HttpServerConnectionsTest.cpp
@@ -60,6 +60,7 @@
 /// Guards against checking timeouts before all sockets were looked at.
 BOOST_FIXTURE_TEST_CASE(IsKeptAmongManyWithRequests, ShortTimeouts) {
   std::vector<RawClient> Clients;
+  Clients.reserve(ManyClients);
   for (int Number = 0; Number < ManyClients; ++Number)
     Clients.emplace_back(ServerPort);
   const auto SendToAll = [&] {
