--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -226,7 +226,7 @@
   co_await asio::async_write(Socket, asio::buffer(Text), storeErrorIn(Failure));
   Writing = false;
   Deadline = ReadDeadline;
-  if (Failure)
+  if (Failure && !Aborted)
     handleDisconnect();
   co_return !Failure;
 }
