Close a server after what has arrived is answered

What callers saw: at the end of a planned stop their connections were reset while requests waited in the listen queue, in sockets or half read.

Cause: a server could tell only how many handlers ran, and close() closes the listener and all connections as they are.

load() now looks at the kernel: the listen queue, unread bytes and half-read requests. closeAfterAnswers() accepts until the listen queue is empty and closes the listener in the same step, answers what has arrived or goes on arriving on open connections, closes each connection after its answer, and kept ones without a request at once, but only if nothing waits to be read. A connection that has not carried a request yet gets 300 ms for it. It returns when no connection is left; at the deadline it logs server.connections_cut, counts what is left and closes it.

Evidence, with the former simple body: of 20 callers in the listen queue 20 were reset (check countResponses(Client.receive()) == 1U has failed [0 != 1]); the first request of a new connection likewise; the states of load() and what is left at the deadline were not told. ARequestThatWaitsOnAKeptConnection and the suite DoesNotWaitFor passed with it, too. net passes: 28 cases.

A connection whose handshake ends between the last accept and the close of the listener, two system calls later, is still reset.

--- a/packages/net/include/tamarack/net/HttpServer.h
+++ b/packages/net/include/tamarack/net/HttpServer.h
@@ -38,12 +38,14 @@
   Duration LingerTimeout = std::chrono::seconds(5);
   /// Maximum number of lingering connections. Beyond it the oldest is closed.
   std::size_t MaxLingeringConnections = 1024;
+  /// How long closeAfterAnswers() waits for the first request of a connection.
+  Duration ClosingRequestTimeout = std::chrono::milliseconds(300);
 };
 
 /// What the callers of a server still wait for. Each connection counts at most
 /// once; lingering connections do not count.
 struct HttpServerLoad {
-  /// Requests whose handlers are running.
+  /// Requests whose handlers are running, or that are being refused.
   std::size_t Running = 0;
   /// Connections with a partly read request, or with unread bytes in the
   /// kernel and no running handler.
@@ -140,7 +142,8 @@
   HttpServerCounts counts() const;
   /// Accepts what waits in the listen queue and closes the listener. Answers
   /// the requests that have arrived, closes each connection after its answer,
-  /// and idle connections at once. Returns when no connection is left, or at
+  /// and idle connections at once, or after ClosingRequestTimeout if they have
+  /// not carried a request. Returns when no connection is left, or at
   /// \p Deadline, when it closes all that are left.
   Task<void> closeAfterAnswers(TimePoint Deadline);
   /// Closes the listener and all connections.
--- a/packages/net/include/tamarack/net/Loop.h
+++ b/packages/net/include/tamarack/net/Loop.h
@@ -98,6 +98,11 @@
 Task<void> acceptLoop(Tcp::acceptor &Listener,
                       std::function<void(Tcp::socket)> Accepted);
 
+/// Passes all connections that wait for \p Listener to \p Accepted, without
+/// suspending. Returns whether none is left.
+bool acceptWaiting(Tcp::acceptor &Listener,
+                   const std::function<void(Tcp::socket)> &Accepted);
+
 /// Opens a listener on \p Address, "IP:PORT". Fails with InvalidConfiguration.
 Expected<Tcp::acceptor> listenOn(Loop &Io, const std::string &Address);
 
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -1,14 +1,20 @@
 #include "HttpSession.h"
 
+#include "tamarack/net/Log.h"
+
 #include <algorithm>
 
 #include <utility>
 
+#include <poll.h>
+
 namespace tamarack {
 namespace {
 
 /// Period of checking the timeouts of connections, and so their precision.
 constexpr Duration SweepInterval = std::chrono::milliseconds(250);
+/// The same for a server that closes after its answers.
+constexpr Duration CloseCheckInterval = std::chrono::milliseconds(25);
 
 } // namespace
 
@@ -38,6 +44,7 @@
 void HttpServer::Impl::accepted(Tcp::socket Socket) {
   auto Session = std::make_shared<internal::HttpSession>(shared_from_this(),
                                                          std::move(Socket));
+  Sessions.insert(Session.get());
   // The coroutine starts later, so it must own the session.
   spawn(Io, [](std::shared_ptr<internal::HttpSession> Self) -> Task<void> {
     co_await Self->run();
@@ -62,6 +69,36 @@
     (*Oldest++)->close();
 }
 
+HttpServerLoad HttpServer::Impl::load() {
+  HttpServerLoad Result;
+  for (internal::HttpSession *Session : Sessions)
+    Session->addTo(Result);
+  if (Listener && Listener->is_open()) {
+    pollfd Query{Listener->native_handle(), POLLIN, 0};
+    Result.Unaccepted = ::poll(&Query, 1, 0) > 0 ? 1 : 0;
+  }
+  return Result;
+}
+
+void HttpServer::Impl::closeListener() {
+  if (!Listener || !Listener->is_open())
+    return;
+  const bool IsQueueEmpty = acceptWaiting(
+      *Listener, [this](Tcp::socket Socket) { accepted(std::move(Socket)); });
+  ErrorCode Ignored; // The listener is closed even on error.
+  if (IsQueueEmpty)
+    Listener->close(Ignored);
+}
+
+void HttpServer::Impl::close() {
+  Closed = true;
+  ErrorCode Ignored; // The listener is closed even on error.
+  if (Listener)
+    Listener->close(Ignored);
+  for (internal::HttpSession *Session : Sessions)
+    Session->close();
+}
+
 HttpServer::HttpServer(Loop &Io, HttpServerLimits Limits, Handler Handle)
     : Inner(std::make_shared<Impl>(Io, Limits, std::move(Handle))) {}
 
@@ -72,11 +109,14 @@
   if (!Listener)
     return tl::unexpected(Listener.error());
   Inner->Listener = std::move(*Listener);
+  Inner->Accepting = true;
   spawn(Inner->Io, [](std::shared_ptr<Impl> Self) -> Task<void> {
     std::function<void(Tcp::socket)> Accepted = [Self](Tcp::socket Socket) {
       Self->accepted(std::move(Socket));
     };
     co_await acceptLoop(*Self->Listener, std::move(Accepted));
+    Self->Accepting = false;
+    Self->Ended.raise();
   }(Inner));
   spawn(Inner->Io, [](std::shared_ptr<Impl> Self) -> Task<void> {
     co_await Self->sweepPeriodically();
@@ -98,49 +138,44 @@
 std::size_t HttpServer::running() const { return Inner->Running; }
 std::size_t HttpServer::connections() const { return Inner->Sessions.size(); }
 
-HttpServerLoad HttpServer::load() const {
-  HttpServerLoad Result;
-  Result.Running = running();
-  Result.Idle = connections() - running();
-  return Result;
-}
-
+HttpServerLoad HttpServer::load() const { return Inner->load(); }
 HttpServerCounts HttpServer::counts() const { return Inner->Counts; }
 
 namespace {
 
-/// Interval at which a server that closes checks whether connections are left.
-constexpr Duration CloseCheckInterval = std::chrono::milliseconds(25);
-
-Task<void> closeWhenAnswered(std::shared_ptr<HttpServer::Impl> Server,
-                             TimePoint Deadline) {
+Task<void> closeServer(std::shared_ptr<HttpServer::Impl> Server,
+                       TimePoint Deadline) {
   Server->Draining = true;
-  ErrorCode Ignored; // The listener is closed even on error.
-  if (Server->Listener)
-    Server->Listener->close(Ignored);
-  for (internal::HttpSession *Session : Server->Sessions)
-    Session->closeIdleAt(steadyNow());
-  while (!Server->Sessions.empty() && steadyNow() < Deadline) {
-    co_await pause(Server->Io, CloseCheckInterval);
+  Server->Closing = true;
+  while (true) {
+    Server->closeListener();
+    const TimePoint Now = steadyNow();
+    for (internal::HttpSession *Session : Server->Sessions)
+      Session->closeIfIdle(Now);
+    if (!Server->Accepting && Server->Sessions.empty())
+      break;
+    if (Now >= Deadline) {
+      const HttpServerLoad Left = Server->load();
+      Server->Counts.CutAtDeadline = Left;
+      LogLine("server.connections_cut")
+          .with("running", Left.Running)
+          .with("arriving", Left.Arriving)
+          .with("unaccepted", Left.Unaccepted)
+          .with("idle", Left.Idle)
+          .with("lingering", Server->Lingering.size());
+      break;
+    }
+    co_await Server->Ended.wait(std::min(Deadline, Now + CloseCheckInterval));
   }
-  Server->Closed = true;
-  for (internal::HttpSession *Session : Server->Sessions)
-    Session->close();
+  Server->close();
 }
 
 } // namespace
 
 Task<void> HttpServer::closeAfterAnswers(TimePoint Deadline) {
-  return closeWhenAnswered(Inner, Deadline);
+  return closeServer(Inner, Deadline);
 }
 
-void HttpServer::close() {
-  Inner->Closed = true;
-  ErrorCode Ignored; // The socket is closed even on error.
-  if (Inner->Listener)
-    Inner->Listener->close(Ignored);
-  for (internal::HttpSession *Session : Inner->Sessions)
-    Session->close();
-}
+void HttpServer::close() { Inner->close(); }
 
 } // namespace tamarack
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -60,11 +60,22 @@
   const bool IsBounded = Phase == SessionPhase::Lingering;
   if (!Socket.is_open() || Now <= Deadline || (!IsBounded && canContinue()))
     return;
-  if (Phase == SessionPhase::Reading)
-    ++Server->Counts.CutWhileReading;
   close();
 }
 
+TimePoint HttpSession::idleDeadline(TimePoint Now) const {
+  if (!Server->Closing)
+    return Now + Server->Limits.KeepAliveTimeout;
+  return HasCarriedRequest ? TimePoint::min()
+                           : Now + Server->Limits.ClosingRequestTimeout;
+}
+
+void HttpSession::closeIfIdle(TimePoint Now) {
+  closeIdleAt(idleDeadline(Now));
+  if (Phase == SessionPhase::Idle)
+    sweep(Now, Duration(0));
+}
+
 /// Whether the pending read or write is ready in the kernel. The loop may not
 /// have noticed yet.
 bool HttpSession::canContinue() {
@@ -73,6 +84,18 @@
   return ::poll(&Query, 1, 0) > 0;
 }
 
+void HttpSession::addTo(HttpServerLoad &Load) {
+  if (Phase == SessionPhase::Answering)
+    ++Load.Running;
+  if (!Socket.is_open())
+    return;
+  const bool IsWaiting = Phase == SessionPhase::Idle && unreadBytes() > 0;
+  if (Phase == SessionPhase::Reading || IsWaiting)
+    ++Load.Arriving;
+  else if (Phase == SessionPhase::Idle)
+    ++Load.Idle;
+}
+
 std::size_t HttpSession::unreadBytes() {
   int Count = 0;
   if (::ioctl(Socket.native_handle(), FIONREAD, &Count) != 0)
@@ -81,7 +104,6 @@
 }
 
 Task<void> HttpSession::run() {
-  Server->Sessions.insert(this);
   while (!Server->Closed) {
     const ReadOutcome Outcome = co_await readRequest();
     if (Outcome == ReadOutcome::Disconnected)
@@ -92,11 +114,12 @@
     if (!ResponseSent || !KeepAlive || CallerDisconnected)
       break;
   }
-  if (!CallerDisconnected) {
+  if (!CallerDisconnected && !Server->Closed) {
     co_await linger();
   }
   close();
   Server->Sessions.erase(this);
+  Server->Ended.raise();
 }
 
 /// If the socket were closed while the caller still sends, the kernel would
@@ -123,7 +146,7 @@
   Reader.header_limit(static_cast<std::uint32_t>(Limits.MaxRequestHeadBytes));
   Reader.body_limit(Limits.MaxRequestBodyBytes);
   Phase = SessionPhase::Idle;
-  Deadline = steadyNow() + Limits.KeepAliveTimeout;
+  Deadline = idleDeadline(steadyNow());
   ErrorCode Failure;
   if (Buffer.size() == 0) {
     co_await Socket.async_wait(Tcp::socket::wait_read, storeErrorIn(Failure));
@@ -176,6 +199,7 @@
   CallerDisconnected = false;
   PendingHead.clear();
   Phase = SessionPhase::Answering;
+  HasCarriedRequest = true;
   ++Server->Running;
   watchForDisconnect();
   HttpExchange Exchange(*this);
@@ -273,10 +297,11 @@
 void HttpSession::close() {
   if (!Socket.is_open())
     return;
-  if (!CallerDisconnected && unreadBytes() > 0)
-    ++Server->Counts.ClosedUnread;
-  if (!CallerDisconnected && Phase == SessionPhase::Lingering)
-    ++Server->Counts.LingerTimeouts;
+  if (!CallerDisconnected) {
+    Server->Counts.ClosedUnread += unreadBytes() > 0;
+    Server->Counts.LingerTimeouts += Phase == SessionPhase::Lingering;
+    Server->Counts.CutWhileReading += Phase == SessionPhase::Reading;
+  }
   ErrorCode Ignored; // The socket is closed even on error.
   Socket.close(Ignored);
 }
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -17,12 +17,18 @@
 
 struct HttpServer::Impl : std::enable_shared_from_this<Impl> {
   Impl(Loop &Io, HttpServerLimits Limits, Handler Handle)
-      : Io(Io), Limits(Limits), Handle(std::move(Handle)) {}
+      : Io(Io), Limits(Limits), Handle(std::move(Handle)), Ended(Io) {}
 
   void accepted(Tcp::socket Socket);
   Task<void> sweepPeriodically();
   /// Closes the oldest lingering connections if there are too many.
   void limitLingering();
+  HttpServerLoad load();
+  /// Accepts what waits in the listen queue. Closes the listener if this
+  /// empties the queue.
+  void closeListener();
+  /// Closes all connections.
+  void close();
 
   Loop &Io;
   HttpServerLimits Limits;
@@ -30,8 +36,13 @@
   std::optional<Tcp::acceptor> Listener;
   std::unordered_set<internal::HttpSession *> Sessions;
   std::size_t Running = 0;
+  /// Whether acceptLoop() runs.
+  bool Accepting = false;
   bool Draining = false;
+  bool Closing = false;
   bool Closed = false;
+  /// Raised when a connection or the accept loop has ended.
+  Signal Ended;
   HttpServerCounts Counts;
   /// The lingering connections, the oldest first.
   std::list<internal::HttpSession *> Lingering;
@@ -74,6 +85,11 @@
     if (Phase == SessionPhase::Idle)
       Deadline = std::min(Deadline, Time);
   }
+  /// Closes the connection if the server, which is closing, need not wait for
+  /// a request.
+  void closeIfIdle(TimePoint Now);
+  /// Counts the connection in \p Load.
+  void addTo(HttpServerLoad &Load);
 
   void closeAfterResponse() { KeepAlive = false; }
   Task<bool> answer(HttpResponse Response);
@@ -101,7 +117,9 @@
   void watchForDisconnect();
   void handleDisconnect();
   bool canContinue();
+  /// Number of received bytes that wait in the kernel.
   std::size_t unreadBytes();
+  TimePoint idleDeadline(TimePoint Now) const;
   Task<bool> write(std::string Text);
 
   std::shared_ptr<HttpServer::Impl> Server;
@@ -111,6 +129,7 @@
   TimePoint Deadline = TimePoint::max();
   SessionPhase Phase = SessionPhase::Idle;
   bool Writing = false;
+  bool HasCarriedRequest = false;
   bool KeepAlive = true;
   bool ResponseSent = false;
   bool Aborted = false;
--- a/packages/net/src/Loop.cpp
+++ b/packages/net/src/Loop.cpp
@@ -138,6 +138,22 @@
   }
 }
 
+bool acceptWaiting(Tcp::acceptor &Listener,
+                   const std::function<void(Tcp::socket)> &Accepted) {
+  ErrorCode Failure;
+  Listener.non_blocking(true, Failure);
+  // Otherwise Asio blocks after a connection that was lost in the queue.
+  Listener.set_option(asio::socket_base::enable_connection_aborted(true),
+                      Failure);
+  while (true) {
+    Tcp::socket Socket = Listener.accept(Failure);
+    if (!Failure)
+      Accepted(std::move(Socket));
+    else if (Failure != asio::error::connection_aborted)
+      return Failure == asio::error::would_block;
+  }
+}
+
 Expected<Tcp::acceptor> listenOn(Loop &Io, const std::string &Address) {
   const Expected<Tcp::endpoint> Endpoint = parseAddress(Address);
   if (!Endpoint)
