--- /dev/null
+++ b/packages/net/src/HttpSession.h
@@ -0,0 +1,143 @@
+/// A connection of an HttpServer, and the state that its connections share.
+#ifndef TAMARACK_NET_HTTPSESSION_H
+#define TAMARACK_NET_HTTPSESSION_H
+
+#include "tamarack/net/HttpServer.h"
+
+#include <array>
+#include <list>
+#include <optional>
+#include <unordered_set>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace tamarack {
+
+struct HttpServer::Impl : std::enable_shared_from_this<Impl> {
+  Impl(Loop &Io, HttpServerLimits Limits, Handler Handle)
+      : Io(Io), Limits(Limits), Handle(std::move(Handle)), Ended(Io) {}
+
+  void accepted(Tcp::socket Socket);
+  Task<void> sweepPeriodically();
+  /// Closes the oldest lingering connections if there are too many.
+  void limitLingering();
+  HttpServerLoad load();
+  /// Accepts what waits in the listen queue. Closes the listener if this
+  /// empties the queue.
+  void closeListener();
+  /// Closes all connections.
+  void close();
+
+  Loop &Io;
+  HttpServerLimits Limits;
+  const Handler Handle;
+  std::optional<Tcp::acceptor> Listener;
+  std::unordered_set<internal::HttpSession *> Sessions;
+  std::size_t Running = 0;
+  /// Whether acceptLoop() runs.
+  bool Accepting = false;
+  bool Draining = false;
+  bool Closing = false;
+  bool Closed = false;
+  /// Raised when a connection or the accept loop has ended.
+  Signal Ended;
+  HttpServerCounts Counts;
+  /// The lingering connections, the oldest first.
+  std::list<internal::HttpSession *> Lingering;
+  /// Where lingering connections read to; nobody looks at it.
+  std::array<char, 16U << 10U> Discarded{};
+};
+
+namespace internal {
+
+enum class SessionPhase {
+  /// Waits for the first byte of a request.
+  Idle,
+  /// Reads a request.
+  Reading,
+  /// Runs the handler or refuses the request.
+  Answering,
+  /// Has ended its own direction, and reads until the caller closes.
+  Lingering,
+};
+
+enum class ReadOutcome {
+  Complete,
+  /// The request was refused; more of it may arrive.
+  Refused,
+  /// The caller has disconnected, or the connection was closed.
+  Disconnected,
+};
+
+/// One connection of a caller.
+class HttpSession : public std::enable_shared_from_this<HttpSession> {
+public:
+  HttpSession(std::shared_ptr<HttpServer::Impl> Server, Tcp::socket Socket);
+
+  Task<void> run();
+  /// Closes the connection if its timeout has passed at \p Now and its pending
+  /// read or write cannot continue. \p Stalled is for how long the loop did not
+  /// run since the last call.
+  void sweep(TimePoint Now, Duration Stalled);
+  void closeIdleAt(TimePoint Time) {
+    if (Phase == SessionPhase::Idle)
+      Deadline = std::min(Deadline, Time);
+  }
+  /// Closes the connection if the server, which is closing, need not wait for
+  /// a request.
+  void closeIfIdle(TimePoint Now);
+  /// Counts the connection in \p Load.
+  void addTo(HttpServerLoad &Load);
+
+  void closeAfterResponse() { KeepAlive = false; }
+  Task<bool> answer(HttpResponse Response);
+  void begin(HttpHead Head);
+  Task<bool> sendChunk(std::string_view Data);
+  Task<bool> end();
+  void abort();
+  /// Closes the connection without waiting for the caller.
+  void close();
+
+  HttpRequest Request;
+  TimePoint RequestReadAt;
+  bool ResponseStarted = false;
+  bool CallerDisconnected = false;
+  std::function<void()> DisconnectCallback;
+
+private:
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  Task<ReadOutcome> readRequest();
+  Task<void> refuseRequest(int Status);
+  Task<void> handleRequest();
+  Task<void> linger();
+  void watchForDisconnect();
+  void handleDisconnect();
+  bool canContinue();
+  /// Number of received bytes that wait in the kernel.
+  std::size_t unreadBytes();
+  TimePoint idleDeadline(TimePoint Now) const;
+  Task<bool> write(std::string Text);
+
+  std::shared_ptr<HttpServer::Impl> Server;
+  Tcp::socket Socket;
+  boost::beast::flat_buffer Buffer;
+  /// When sweep() may close the connection.
+  TimePoint Deadline = TimePoint::max();
+  SessionPhase Phase = SessionPhase::Idle;
+  bool Writing = false;
+  bool HasCarriedRequest = false;
+  bool KeepAlive = true;
+  bool ResponseSent = false;
+  bool Aborted = false;
+  bool Watching = false;
+  std::string PendingHead;
+};
+
+} // namespace internal
+} // namespace tamarack
+
+#endif // TAMARACK_NET_HTTPSESSION_H
