Answer streams that fail before their first event

Callers of a stream got a closed connection without an answer although nothing of one had been sent: the endpoint closed, reset or sent malformed chunks after its head, its first event had no end, its version got in doubt, or the deadline passed. On a kept connection that is a request that was passed on and left without an answer.

The head of a stream is kept back until the first event, but the response counted as started from begin() on, and a started response that fails is aborted. It now counts as started when a part of it is sent; until then the request ends with 502, or 504 at its deadline, and the caller's connection stays usable. entry.broken_answer says why a stream broke.

A caller that ends its own direction has closed its connection, as far as the entry can see.

BytesWithoutEndThatAreNoAnswer/EndAStreamInAnEvent and ResumedStreams/ BreakOffIfItIsReplacedAfterTheyWentOn asserted status 0, which was this fault: no event had been sent in either. They assert 502 now, which admits no other outcome either.

--- a/packages/net/include/tamarack/net/HttpServer.h
+++ b/packages/net/include/tamarack/net/HttpServer.h
@@ -50,9 +50,9 @@
   /// the caller has disconnected.
   Task<bool> answer(HttpResponse Response);
   /// Starts a response with a chunked body. \p Head is sent with the first
-  /// chunk.
+  /// chunk; until then answer() may replace the response.
   void begin(HttpHead Head);
-  /// Whether begin() was called.
+  /// Whether a part of a response was sent, after which there can be no other.
   bool isResponseStarted() const;
   /// Sends \p Data as one chunk. Returns false if the caller has disconnected.
   Task<bool> sendChunk(std::string_view Data);
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -255,6 +255,7 @@
   if (!KeepAlive)
     Response.Head.Fields.add("Connection", "close");
   ResponseSent = true;
+  PendingHead.clear();
   std::string Text = encodeHead(Response.Head) + Response.Body;
   co_return co_await write(std::move(Text));
 }
@@ -265,15 +266,16 @@
   if (!KeepAlive)
     Head.Fields.add("Connection", "close");
   PendingHead = encodeHead(Head);
-  ResponseStarted = true;
 }
 
 Task<bool> HttpSession::sendChunk(std::string_view Data) {
+  ResponseStarted = true;
   std::string Text = std::exchange(PendingHead, {}) + encodeChunk(Data);
   co_return co_await write(std::move(Text));
 }
 
 Task<bool> HttpSession::end() {
+  ResponseStarted = true;
   ResponseSent = true;
   std::string Text = std::exchange(PendingHead, {}) + std::string(LastChunk);
   co_return co_await write(std::move(Text));
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -298,9 +298,11 @@
   Task<void> abandonTurn(internal::RequestContext &Context,
                          const internal::StreamState &State,
                          std::optional<Error> Failure);
-  /// Forwards events until the stream ends. Returns whether it is complete.
-  Task<bool> relayEvents(internal::RequestContext &Context,
-                         internal::StreamState &State, HttpCall &Call);
+  /// Forwards events until the stream ends. Fails with EndpointFailed if it is
+  /// not complete.
+  Task<Expected<void>> relayEvents(internal::RequestContext &Context,
+                                   internal::StreamState &State,
+                                   HttpCall &Call);
   /// Stores and settles a complete turn, then ends its stream. Returns false
   /// if the turn could not be stored.
   Task<bool> finishTurn(internal::RequestContext &Context,
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -25,6 +25,10 @@
   return Result;
 }
 
+tl::unexpected<Error> brokenStream(std::string Reason) {
+  return refuse(ErrorKind::EndpointFailed, std::move(Reason));
+}
+
 /// An error for a request that no endpoint ran.
 Error notRunError(ErrorKind Kind, std::string Message) {
   return {Kind, std::move(Message), NotRun::Proved, {}};
@@ -257,8 +261,16 @@
   if (Head.Status == 200 && isForwardable(Head)) {
     removeHopByHop(Head.Fields);
     Context.Caller.begin(std::move(Head));
-    const bool Complete = co_await relayEvents(Context, State, Call);
-    co_return Complete ? StreamOutcome::Finished : StreamOutcome::Indeterminate;
+    const Expected<void> Relayed = co_await relayEvents(Context, State, Call);
+    if (Relayed)
+      co_return StreamOutcome::Finished;
+    LogLine("entry.broken_answer")
+        .with("request", Context.Metadata.RequestId)
+        .with("endpoint", From)
+        .with("reused", Call.reused() ? 1 : 0)
+        .with("events", State.Events)
+        .with("reason", Relayed.error().Message);
+    co_return StreamOutcome::Indeterminate;
   }
   Expected<std::string> Body = co_await readBody(Call, Head);
   if (Body && isRefusal(Head))
@@ -270,18 +282,23 @@
   co_return StreamOutcome::ErrorForwarded;
 }
 
-Task<bool> Relay::Impl::relayEvents(RequestContext &Context, StreamState &State,
-                                    HttpCall &Call) {
+Task<Expected<void>> Relay::Impl::relayEvents(RequestContext &Context,
+                                              StreamState &State,
+                                              HttpCall &Call) {
   while (true) {
     const Expected<std::optional<std::string>> Piece =
         co_await Call.readPiece();
-    if (!Piece || Context.isCancelled())
-      co_return false;
+    if (Context.isCancelled())
+      co_return brokenStream("the request was cancelled");
+    if (!Piece)
+      co_return tl::unexpected(Piece.error());
+    if (!*Piece && State.Splitter.hasPartialEvent())
+      co_return brokenStream("the stream ends inside an event");
     if (!*Piece)
-      co_return !State.Splitter.hasPartialEvent();
+      co_return Expected<void>();
     if (isVersionInDoubt(Context)) {
       if (Context.RequiredVersion)
-        co_return false;
+        co_return brokenStream("the version of the endpoint is in doubt");
       if (Context.Origin && Context.Origin->Process)
         forgetOrigin(Context);
     }
@@ -290,7 +307,7 @@
     while (std::optional<StreamEvent> Event = State.Splitter.next()) {
       const std::optional<std::uint64_t> Id = parseNumber(Event->Id);
       if (Event->HasData && Id && State.LastId != 0 && *Id != State.LastId + 1)
-        co_return false;
+        co_return brokenStream("an event is missing");
       if (Event->HasData) {
         State.LastId = Id.value_or(State.LastId);
         if (State.Events++ == 0)
@@ -302,12 +319,12 @@
       Ready += Event->Text;
     }
     if (State.Splitter.partialBytes() > MaxEventBytes)
-      co_return false;
+      co_return brokenStream("an event is too long");
     if (Ready.empty())
       continue;
     const bool Sent = co_await Context.Caller.sendChunk(Ready);
     if (!Sent)
-      co_return false;
+      co_return brokenStream("the caller has disconnected");
   }
 }
 
--- a/packages/relay/test/OriginsTest.cpp
+++ b/packages/relay/test/OriginsTest.cpp
@@ -290,7 +290,7 @@
   Endpoints[Index]->Responses = {{resumedStream(3, 4), false, 200ms}};
   asio::steady_timer Timer(Io, 100ms);
   Timer.async_wait([this](const ErrorCode &) { listVersions({"v3", "v3"}); });
-  BOOST_TEST(resume("t2", "t1").Head.Status == 0);
+  BOOST_TEST(resume("t2", "t1").Head.Status == 502);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/relay/test/RelayFixture.h
+++ b/packages/relay/test/RelayFixture.h
@@ -74,6 +74,10 @@
   /// Whether the endpoint crashes afterwards: it closes the connection and its
   /// port.
   bool Crash = false;
+  /// Whether the connection is reset afterwards.
+  bool Reset = false;
+  /// Sent after Bytes, each in a segment of its own.
+  std::vector<std::string> LaterSegments = {};
 };
 
 /// A complete response that is signed and names the request.
@@ -118,6 +122,9 @@
 /// An endpoint that sends scripted responses in order and repeats the last one.
 class ScriptedEndpoint {
 public:
+  /// The pause before each of the later segments of a response.
+  static constexpr Duration SegmentInterval = std::chrono::milliseconds(3);
+
   ScriptedEndpoint(Loop &Io, int Port) : Io(Io), Port(Port) { start(); }
   ~ScriptedEndpoint() { closePort(); }
 
@@ -170,6 +177,7 @@
                                     Tcp::socket Socket) {
     std::string Text;
     char Buffer[65536];
+    Socket.set_option(Tcp::no_delay(true));
     while (true) {
       ErrorCode Failure;
       const std::size_t Length = requestLength(Text);
@@ -200,11 +208,22 @@
                          Request.substr(Id, Request.find('\r', Id) - Id));
       co_await asio::async_write(Socket, asio::buffer(Response),
                                  storeErrorIn(Failure));
+      for (const std::string &Segment : Next.LaterSegments) {
+        co_await pause(Self.Io, SegmentInterval);
+        co_await asio::async_write(Socket, asio::buffer(Segment),
+                                   storeErrorIn(Failure));
+      }
       if (!Next.Endless.empty()) {
         co_await sendWithoutEnd(Self, Socket, Next.Endless);
       }
       if (Next.Crash)
         Self.closePort();
+      if (Next.Reset) {
+        // The destructor of a socket would switch this option off.
+        Socket.set_option(asio::socket_base::linger(true, 0), Failure);
+        Socket.close(Failure);
+        co_return;
+      }
       if (Next.CloseAfter || Next.Crash || !Next.Endless.empty())
         co_return;
     }
--- a/packages/relay/test/RelayTest.cpp
+++ b/packages/relay/test/RelayTest.cpp
@@ -223,7 +223,7 @@
   Response.Endless = encodeChunk("data: " + Filler + "\n");
   setResponses({Response});
   const TimePoint SentAt = steadyNow();
-  BOOST_TEST(sendTurn("1", "1000").Head.Status == 0);
+  BOOST_TEST(sendTurn("1", "1000").Head.Status == 502);
   BOOST_TEST((steadyNow() - SentAt < Duration(1s)));
   until([this] {
     return Endpoints[0]->ClosedConnections + Endpoints[1]->ClosedConnections ==
