Take no stream without events for a complete one

A stream with neither length nor chunks whose endpoint closed after the head was passed on as a complete, empty stream, and stored as a turn on a retained route, so that the program went on without the model's words. The connections of a process that is killed are closed just so; the request then also counted as answered, so that one which crashes endpoints was sent again without end.

The end of the connection was taken for the end of the stream if no event was incomplete. A stream without events is no answer now, however it is framed, and ends with 502, or is broken off after comments. The exception is a caller that takes a stream up and has received events: the rest may be empty if a length or a last chunk marks its end.

--- a/packages/net/include/tamarack/net/HttpCall.h
+++ b/packages/net/include/tamarack/net/HttpCall.h
@@ -116,6 +116,9 @@
 
   /// Whether the connection has already carried an earlier request.
   bool reused() const;
+  /// Whether the end of the response follows from its length or its chunks, as
+  /// opposed to the end of the connection. Valid once readHead() has returned.
+  bool isEndMarked() const;
   /// Whether a read failed because the server ended the connection, as opposed
   /// to bytes that are no response or to abort().
   bool isEndedByServer() const;
--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -269,6 +269,8 @@
 
 bool HttpCall::isEndedByServer() const { return Inner->EndedByServer; }
 
+bool HttpCall::isEndMarked() const { return !Inner->Reader->need_eof(); }
+
 bool HttpCall::reused() const {
   return Inner->Connection && Inner->Connection->CompletedExchanges > 0;
 }
--- a/packages/relay/include/tamarack/relay/Dialect.h
+++ b/packages/relay/include/tamarack/relay/Dialect.h
@@ -39,10 +39,14 @@
   TurnId ResumedTurn;
 };
 
+/// Whether the caller has received a part of the stream before.
+inline bool hasReceivedEvents(const RequestMetadata &Metadata) {
+  return !Metadata.LastEventId.value_or("").empty();
+}
+
 /// Whether the request resumes a stream of which the caller has events.
 inline bool isResumption(const RequestMetadata &Metadata) {
-  return !Metadata.ResumedTurn.empty() ||
-         !Metadata.LastEventId.value_or("").empty();
+  return !Metadata.ResumedTurn.empty() || hasReceivedEvents(Metadata);
 }
 
 /// The metadata of an endpoint's response.
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -29,6 +29,14 @@
   return refuse(ErrorKind::EndpointFailed, std::move(Reason));
 }
 
+/// Whether a stream that has ended between two events is complete. One without
+/// events is not, unless it resumes after the last event and its end is marked:
+/// the connections of a process that is killed are closed too.
+bool isCompleteStream(const StreamState &State, bool IsResumed,
+                      bool IsEndMarked) {
+  return State.Events > 0 || (IsResumed && IsEndMarked);
+}
+
 /// An error for a request that no endpoint ran.
 Error notRunError(ErrorKind Kind, std::string Message) {
   return {Kind, std::move(Message), NotRun::Proved, {}};
@@ -237,7 +245,8 @@
   else
     Endpoints.onFailure(To.Endpoint, steadyNow());
   const bool IsBroken = Outcome == StreamOutcome::Indeterminate &&
-                        !Context.isCancelled() && Call->isEndedByServer();
+                        !Context.isCancelled() &&
+                        (Call->isEndedByServer() || !Call->isEndMarked());
   if (Outcome == StreamOutcome::Indeterminate)
     Call->abort();
   else
@@ -294,6 +303,9 @@
       co_return tl::unexpected(Piece.error());
     if (!*Piece && State.Splitter.hasPartialEvent())
       co_return brokenStream("the stream ends inside an event");
+    if (!*Piece && !isCompleteStream(State, hasReceivedEvents(Context.Metadata),
+                                     Call.isEndMarked()))
+      co_return brokenStream("the stream ends before its first event");
     if (!*Piece)
       co_return Expected<void>();
     if (isVersionInDoubt(Context)) {
--- a/packages/relay/test/BrokenStreamsTest.cpp
+++ b/packages/relay/test/BrokenStreamsTest.cpp
@@ -150,6 +150,53 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against a stream without any event that is passed on, and stored, as
+/// a complete answer: the connections of an endpoint's process that is killed
+/// are closed too.
+BOOST_AUTO_TEST_SUITE(WithoutAnyEvent)
+
+BOOST_AUTO_TEST_CASE(AreNotCompleteIfOnlyTheConnectionEnds) {
+  checkIsNotAnswered(closing(streamHead()));
+}
+
+BOOST_AUTO_TEST_CASE(AreNotCompleteIfTheirEndIsMarked) {
+  for (const char *Framing :
+       {"Transfer-Encoding: chunked\r\n\r\n0\r\n", "Content-Length: 0\r\n"}) {
+    for (auto &Endpoint : Endpoints)
+      Endpoint->Requests.clear();
+    checkIsNotAnswered({streamHead(Framing)});
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AreNotStored) {
+  checkIsNotAnswered(closing(streamHead()), "/kept/x");
+  BOOST_TEST(chain("t1") == "unknown_program");
+}
+
+BOOST_AUTO_TEST_CASE(AreBrokenOffIfTheyHadOnlyComments) {
+  setResponses({closing(streamHead() + ": hello\n\n")});
+  const RawResponse Answer = turn("/kept/x", "t1");
+  BOOST_TEST(Answer.Body == ": hello\n\n");
+  BOOST_TEST(!Answer.IsComplete);
+  BOOST_TEST(Answer.IsClosed);
+  BOOST_TEST(chain("t1") == "unknown_program");
+}
+
+BOOST_AUTO_TEST_CASE(AreCompleteIfTheyResumeAfterTheLastEvent) {
+  setResponses({{resumedStream(1, 0)}});
+  const RawResponse Answer = turn("/resumable/x", "t1", {{"Last-Event", "2"}});
+  BOOST_TEST(Answer.Status == 200);
+  BOOST_TEST(Answer.IsComplete);
+  BOOST_TEST(Answer.Body.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AreNotCompleteIfTheyResumeAndOnlyTheConnectionEnds) {
+  checkIsNotAnswered(closing(streamHead()), "/resumable/x", 502,
+                     {{"Last-Event", "2"}});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(ThatEndWithTheirConnection)
 
 BOOST_AUTO_TEST_CASE(AreCompleteBetweenEvents) {
--- a/packages/relay/test/CrashesTest.cpp
+++ b/packages/relay/test/CrashesTest.cpp
@@ -47,6 +47,14 @@
   }
 }
 
+/// Guards against crashes that are taken for the end of an empty stream.
+BOOST_AUTO_TEST_CASE(ItReachesNoneEitherIfItsStreamsHadNeitherLengthNorChunks) {
+  crashAll("HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: s\r\n\r\n");
+  for (int Try = 0; Try < 6; ++Try)
+    sendAgain();
+  BOOST_TEST(requestCount() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(TheRefusalSaysThatComingAgainDoesNotHelp) {
   crashAll();
   for (int Try = 0; Try < 3; ++Try)
--- a/packages/relay/test/TruncatedAnswersTest.cpp
+++ b/packages/relay/test/TruncatedAnswersTest.cpp
@@ -1,6 +1,8 @@
 #include "RawCaller.h"
 #include "RelayFixture.h"
 
+#include <random>
+
 using namespace tamarack;
 using namespace tamarack::testing;
 
