Test answers that are cut at every byte

Operators of similar systems saw a 200 with an empty or short body after an endpoint had stopped in its head.

Heads with two lengths, with a length beside chunks, or of another protocol are 502 for requests that may and that may not be repeated.

--- a/packages/relay/test/TruncatedAnswersTest.cpp
+++ b/packages/relay/test/TruncatedAnswersTest.cpp
@@ -66,6 +66,181 @@
 
 } // namespace
 
+/// Guards against a success with an empty or short body after an endpoint broke
+/// off its answer or sent a head that cannot be trusted.
+BOOST_FIXTURE_TEST_SUITE(TruncatedAnswers, AnswerFixture)
+
+BOOST_AUTO_TEST_SUITE(WithHeadsThatAreCut)
+
+BOOST_AUTO_TEST_CASE(AreNoSuccess) {
+  const std::string Length =
+      "Content-Length: " + std::to_string(Body.size()) + "\r\n";
+  for (const std::string &Bytes :
+       {std::string("HTTP/1.1 20"), std::string("HTTP/1.1 200 OK\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nId: {id}"), Signed + "\r",
+        Signed + Length.substr(0, Length.size() - 3), Signed + Length,
+        Signed + Length + "\r"}) {
+    checkIsNotAnswered(closing(Bytes));
+    checkIsNotAnswered(closing(Bytes, true));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WithHeadsThatAreMalformed)
+
+BOOST_AUTO_TEST_CASE(AreNoSuccessIfTheFramingIsAmbiguous) {
+  for (const char *Fields :
+       {"Content-Length: 4\r\nContent-Length: 5\r\n",
+        "Content-Length: 4, 5\r\n", "Content-Length: -4\r\n",
+        "Content-Length: 4x\r\n", "Content-Length: \r\n",
+        "Content-Length: 99999999999999999999999\r\n",
+        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"})
+    checkIsNotAnswered(closing(Signed + Fields + "\r\ndone"));
+}
+
+BOOST_AUTO_TEST_CASE(AreNoSuccessIfTheyAreOfAnotherProtocol) {
+  checkIsNotAnswered(closing("done\r\n"));
+  checkIsNotAnswered(closing("<html>done</html>"));
+  checkIsNotAnswered(closing("HTTP/2 200\r\n" + SignedFields + "\r\ndone"));
+  checkIsNotAnswered(closing("HTTP/1.1 200 OK\nId: {id}\nSigned: s\n\ndone"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ThatEndWithTheirConnection)
+
+BOOST_AUTO_TEST_CASE(AreCompleteIfItIsClosed) {
+  checkIsAnswered(closing(Signed + "\r\n" + Body), Body);
+  checkIsAnswered(closing("HTTP/1.0 200 OK\r\n" + SignedFields + "\r\n" + Body),
+                  Body);
+}
+
+BOOST_AUTO_TEST_CASE(AreNoSuccessIfItIsReset) {
+  checkIsNotAnswered(closing(Signed + "\r\n" + Body, true));
+  checkIsNotAnswered(closing(Signed + "\r\n", true));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(CutAndSplitAnywhere)
+
+/// How an answer is framed, and whether its route streams.
+struct Framing {
+  bool IsStream;
+  enum { ByLength, ByChunks, ByConnection } End;
+};
+
+const std::vector<std::string> Events = {"id: 1\ndata: d1\n\n",
+                                         "id: 2\ndata: d2\n\n"};
+
+std::string wholeBody(const Framing &Kind) {
+  return Kind.IsStream ? Events[0] + Events[1] : Body;
+}
+
+std::string encode(const Framing &Kind) {
+  const std::string Whole = wholeBody(Kind);
+  switch (Kind.End) {
+  case Framing::ByLength:
+    return Signed + "Content-Length: " + std::to_string(Whole.size()) +
+           "\r\n\r\n" + Whole;
+  case Framing::ByChunks:
+    return Signed + "Transfer-Encoding: chunked\r\n\r\n" +
+           (Kind.IsStream ? encodeChunk(Events[0]) + encodeChunk(Events[1])
+                          : encodeChunk(Body.substr(0, 9)) +
+                                encodeChunk(Body.substr(9))) +
+           std::string(LastChunk);
+  default:
+    return Signed + "\r\n" + Whole;
+  }
+}
+
+/// Describes what is wrong with the answer to a request whose endpoint sent the
+/// first \p Sent bytes of \p Text; empty if nothing is.
+std::string findFault(const Framing &Kind, const std::string &Text,
+                      std::size_t Sent, bool IsReset,
+                      const RawResponse &Answer) {
+  const std::string Whole = wholeBody(Kind);
+  if (Answer.Bytes.empty())
+    return "no answer";
+  if (!Answer.Extra.empty())
+    return "bytes after the answer";
+  if (Answer.Status >= 500)
+    return !Answer.IsComplete          ? "an error that is incomplete"
+           : Answer.hasField("Signed") ? "an error that is signed"
+                                       : "";
+  if (Answer.Status != 200 || !Answer.hasField("Signed: s\r\n"))
+    return "an answer of neither the endpoint nor the entry";
+  if (Whole.compare(0, Answer.Body.size(), Answer.Body) != 0)
+    return "a body that is not the endpoint's";
+  if (!Answer.IsComplete)
+    return Answer.IsClosed ? "" : "an answer that does not end";
+  if (Kind.End == Framing::ByConnection && IsReset)
+    return "a success after a reset";
+  if (Answer.Body == Whole)
+    return Sent == Text.size() || Kind.End == Framing::ByConnection
+               ? ""
+               : "a success before its end";
+  if (Kind.End != Framing::ByConnection)
+    return "a success that is short";
+  // What has arrived is complete, if it is a series of events on a stream.
+  const std::size_t HeadSize = Text.find("\r\n\r\n") + 4;
+  if (Sent < HeadSize || Answer.Body.size() != Sent - HeadSize)
+    return "a success with a part of what was sent";
+  if (Kind.IsStream && Answer.Body != Events[0])
+    return "a stream that ends in an event, or before the first";
+  return "";
+}
+
+/// Sends one request after the other, each with a response that is cut one byte
+/// later. The response comes in one segment, or in two that are split at
+/// random.
+Task<bool> cutEverywhere(AnswerFixture &Self, Framing Kind, bool IsReset,
+                         std::mt19937 &Random) {
+  const std::string Text = encode(Kind);
+  for (std::size_t Sent = 0; Sent <= Text.size(); ++Sent) {
+    const std::string Cut = Text.substr(0, Sent);
+    ScriptedResponse Response = closing(Cut, IsReset);
+    if (Random() % 8 == 0) {
+      const std::size_t Split = Random() % (Sent + 1);
+      Response.Bytes = Cut.substr(0, Split);
+      Response.LaterSegments = {Cut.substr(Split)};
+    }
+    Self.setResponses({Response});
+    const bool MayRepeat = !Kind.IsStream && Random() % 2 == 0;
+    const std::string Route = Kind.IsStream ? "/turn/"
+                              : MayRepeat   ? "/safe/"
+                                            : "/once/";
+    const std::string Request =
+        Self.encodeNext("POST", Route + std::to_string(Sent));
+    RawCaller Caller(Self.Io, Self.EntryAddress);
+    const RawResponse Answer = co_await Caller.send(Request);
+    const std::string Fault = findFault(Kind, Text, Sent, IsReset, Answer);
+    BOOST_TEST(Fault.empty(), Fault << " after " << Sent << " of "
+                                    << Text.size() << " bytes, stream "
+                                    << Kind.IsStream << ", framing " << Kind.End
+                                    << ", reset " << IsReset << ", route "
+                                    << Route << ": " << Answer.Bytes);
+  }
+  co_return true;
+}
+
+BOOST_AUTO_TEST_CASE(AreNeverAShortSuccess) {
+  std::mt19937 Random(37);
+  for (const bool IsStream : {false, true})
+    for (const auto End :
+         {Framing::ByLength, Framing::ByChunks, Framing::ByConnection})
+      for (const bool IsReset : {false, true})
+        BOOST_TEST(
+            await(cutEverywhere(*this, {IsStream, End}, IsReset, Random)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 /// Guards against a request of a kept connection that was passed on and ends
 /// with a closed connection instead of an answer.
 BOOST_FIXTURE_TEST_SUITE(KeptConnections, AnswerFixture)
