Forward the events that precede an invalid one

Events that arrived in one piece with an event out of order, or before one without end, were dropped with it. The caller got nothing, and could not take the stream up where it was sound, while the tokens of the events counted as handed out.

BrokenStreams/ThatHaveBegun/HaveTheEventsBeforeAnInvalidOne failed before on all three routes: no event where the first one is due. What is ready is now sent before the stream is broken off.

--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -316,10 +316,14 @@
     }
     State.Splitter.feed(**Piece);
     std::string Ready;
+    const char *Fault = nullptr;
     while (std::optional<StreamEvent> Event = State.Splitter.next()) {
       const std::optional<std::uint64_t> Id = parseNumber(Event->Id);
-      if (Event->HasData && Id && State.LastId != 0 && *Id != State.LastId + 1)
-        co_return brokenStream("an event is missing");
+      if (Event->HasData && Id && State.LastId != 0 &&
+          *Id != State.LastId + 1) {
+        Fault = "an event is missing";
+        break;
+      }
       if (Event->HasData) {
         State.LastId = Id.value_or(State.LastId);
         if (State.Events++ == 0)
@@ -330,13 +334,15 @@
       }
       Ready += Event->Text;
     }
-    if (State.Splitter.partialBytes() > MaxEventBytes)
-      co_return brokenStream("an event is too long");
-    if (Ready.empty())
-      continue;
-    const bool Sent = co_await Context.Caller.sendChunk(Ready);
-    if (!Sent)
-      co_return brokenStream("the caller has disconnected");
+    if (Fault == nullptr && State.Splitter.partialBytes() > MaxEventBytes)
+      Fault = "an event is too long";
+    if (!Ready.empty()) {
+      const bool Sent = co_await Context.Caller.sendChunk(Ready);
+      if (!Sent)
+        co_return brokenStream("the caller has disconnected");
+    }
+    if (Fault != nullptr)
+      co_return brokenStream(Fault);
   }
 }
 
--- a/packages/relay/test/BrokenStreamsTest.cpp
+++ b/packages/relay/test/BrokenStreamsTest.cpp
@@ -297,6 +297,13 @@
                            std::string(LastChunk)});
 }
 
+/// Guards against events that are lost because they arrive together with an
+/// invalid one: the caller can only resume after what it has received.
+BOOST_AUTO_TEST_CASE(HaveTheEventsBeforeAnInvalidOne) {
+  checkIsBrokenOff(*this,
+                   closing(streamHead() + FirstEvent + "id: 3\ndata: d3\n\n"));
+}
+
 BOOST_AUTO_TEST_CASE(AreBrokenOffIfAnEventHasNoEnd) {
   ScriptedResponse Response{signedStreamHead() + eventChunk(1)};
   Response.Endless = encodeChunk("data: " + std::string(4096, 'x') + "\n");
