Break off a stream in which another response follows

An endpoint that fails in the middle of a stream with neither length nor chunks may write an error after the events. Its head ends with an empty line, so it counted as an event and reached the caller as part of the stream; without a body the stream even ended as if it were complete.

BrokenStreams/ThatHaveBegun/AreBrokenOffIfAResponseFollowsWithoutAnyFraming failed before for a 503, a 421 and a 103, in the segment of the last event or the next. A block that begins with the status line of a response now breaks the stream off. Text inside the data of an event cannot be told from the stream's own.

--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -37,6 +37,11 @@
   return State.Events > 0 || (IsResumed && IsEndMarked);
 }
 
+/// Whether \p Event is the head of an HTTP response, which no event looks like.
+bool isHttpHead(const StreamEvent &Event) {
+  return Event.Text.rfind("HTTP/1.", 0) == 0;
+}
+
 /// An error for a request that no endpoint ran.
 Error notRunError(ErrorKind Kind, std::string Message) {
   return {Kind, std::move(Message), NotRun::Proved, {}};
@@ -318,6 +323,10 @@
     std::string Ready;
     const char *Fault = nullptr;
     while (std::optional<StreamEvent> Event = State.Splitter.next()) {
+      if (isHttpHead(*Event)) {
+        Fault = "another response follows in the stream";
+        break;
+      }
       const std::optional<std::uint64_t> Id = parseNumber(Event->Id);
       if (Event->HasData && Id && State.LastId != 0 &&
           *Id != State.LastId + 1) {
--- a/packages/relay/test/BrokenStreamsTest.cpp
+++ b/packages/relay/test/BrokenStreamsTest.cpp
@@ -292,6 +292,18 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AreBrokenOffIfAResponseFollowsWithoutAnyFraming) {
+  const std::string Begun = streamHead() + FirstEvent;
+  for (const std::string &Other :
+       {ErrorResponse, RefusalOfOther,
+        std::string("HTTP/1.1 103 Early Hints\r\n\r\n")}) {
+    checkIsBrokenOff(*this, closing(Begun + Other));
+    ScriptedResponse InAnotherSegment = closing(Begun);
+    InAnotherSegment.LaterSegments = {Other};
+    checkIsBrokenOff(*this, InAnotherSegment);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AreBrokenOffIfAnEventIsMissing) {
   checkIsBrokenOff(*this, {signedStreamHead() + eventChunk(1) + eventChunk(3) +
                            std::string(LastChunk)});
