Send no body where a response has none

Callers that send HEAD got a body after an error of the entry, and a chunked stream on streaming routes: bytes that they take for the start of the next response on a kept connection. Responses with status 204 or 304, and to HEAD, got "Content-Length: 0", which a 204 must not have and which is untrue of the others.

The server added the length and wrote the body whatever the method and the status were.

--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -43,6 +43,12 @@
          Failure != http::error::partial_message;
 }
 
+/// Whether the response of \p Status to a request of \p Method may have a
+/// body. Bytes of one would be read as the next response.
+bool mayHaveBody(const std::string &Method, int Status) {
+  return Method != "HEAD" && Status != 204 && Status != 304;
+}
+
 int statusOf(const ErrorCode &Failure) {
   if (Failure == http::error::header_limit)
     return 431;
@@ -250,8 +256,11 @@
 
 Task<bool> HttpSession::answer(HttpResponse Response) {
   KeepAlive = KeepAlive && !Server->Draining;
-  Response.Head.Fields.add("Content-Length",
-                           std::to_string(Response.Body.size()));
+  if (mayHaveBody(Request.Method, Response.Head.Status))
+    Response.Head.Fields.add("Content-Length",
+                             std::to_string(Response.Body.size()));
+  else
+    Response.Body.clear();
   if (!KeepAlive)
     Response.Head.Fields.add("Connection", "close");
   ResponseSent = true;
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -272,7 +272,8 @@
                                                StreamState &State,
                                                HttpCall &Call, EndpointId From,
                                                HttpHead Head) {
-  if (Head.Status == 200 && isForwardable(Head)) {
+  const bool HasEvents = Context.Caller.request().Method != "HEAD";
+  if (Head.Status == 200 && HasEvents && isForwardable(Head)) {
     removeHopByHop(Head.Fields);
     Context.Caller.begin(std::move(Head));
     const Expected<void> Relayed = co_await relayEvents(Context, State, Call);
--- a/packages/relay/test/TruncatedAnswersTest.cpp
+++ b/packages/relay/test/TruncatedAnswersTest.cpp
@@ -241,6 +241,53 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against bytes after a response that has no body by definition: the
+/// caller takes them for the start of the next one.
+BOOST_FIXTURE_TEST_SUITE(AnswersWithoutBody, AnswerFixture)
+
+BOOST_AUTO_TEST_CASE(ToHeadRequestsHaveNone) {
+  setResponses({{Signed + "Content-Length: 5\r\n\r\n"}});
+  for (const char *Target : {"/safe/x", "/once/x", "/turn/x"}) {
+    RawCaller Caller(Io, EntryAddress);
+    for (int Number = 0; Number < 2; ++Number) {
+      const RawResponse Answer = send("HEAD", Target, &Caller);
+      BOOST_TEST(Answer.Status == 200);
+      BOOST_TEST(Answer.hasField("Signed: s\r\n"));
+      BOOST_TEST(!Answer.hasField("Content-Length: 0\r\n"));
+      BOOST_TEST(Answer.Extra == "");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(HaveNoneIfTheyAreErrorsOfTheEntry) {
+  listEndpoints({});
+  RawCaller Caller(Io, EntryAddress);
+  for (int Number = 0; Number < 2; ++Number) {
+    const RawResponse Answer = send("HEAD", "/safe/x", &Caller);
+    BOOST_TEST(Answer.Status == 503);
+    BOOST_TEST(Answer.Extra == "");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(OfStatus204And304HaveNoLength) {
+  for (const char *Status : {"204 No Content", "304 Not Modified"}) {
+    setResponses(
+        {{std::string("HTTP/1.1 ") + Status + "\r\n" + SignedFields + "\r\n"}});
+    for (const char *Target : {"/once/x", "/turn/x"}) {
+      RawCaller Caller(Io, EntryAddress);
+      for (int Number = 0; Number < 2; ++Number) {
+        const RawResponse Answer = send("POST", Target, &Caller);
+        BOOST_TEST(Answer.Status == std::stoi(Status));
+        BOOST_TEST(Answer.hasField("Signed: s\r\n"));
+        BOOST_TEST(!Answer.hasField("Content-Length"));
+        BOOST_TEST(Answer.Extra == "");
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 /// Guards against a request of a kept connection that was passed on and ends
 /// with a closed connection instead of an answer.
 BOOST_FIXTURE_TEST_SUITE(KeptConnections, AnswerFixture)
