Refuse responses in an unknown transfer coding

A response with "Transfer-Encoding: gzip", alone, before chunks or beside a length, was a success for its caller: the field was dropped as one of the connection, and the bytes of the coding were forwarded as the body. The parser ignores codings that it does not know.

TruncatedAnswers/WithHeadsThatAreMalformed/AreNoSuccessIfTheTransferCodingIsUnknown failed before with 200 in each of its five variants. Such a response is a failed attempt now.

--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -2,6 +2,8 @@
 
 #include "HttpConnection.h"
 
+#include <algorithm>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -44,6 +46,15 @@
       std::atoi(Text->c_str() + Offset + std::string_view("timeout=").size()));
 }
 
+/// Whether the body is in a transfer coding other than chunks, which the parser
+/// does not decode.
+bool hasUnknownCoding(const http::fields &Fields) {
+  return std::any_of(Fields.begin(), Fields.end(), [](const auto &Field) {
+    return Field.name() == http::field::transfer_encoding &&
+           !boost::beast::iequals(Field.value(), "chunked");
+  });
+}
+
 tl::unexpected<Error> endpointFailure(const ErrorCode &Failure) {
   return refuse(ErrorKind::EndpointFailed, Failure.message());
 }
@@ -191,6 +202,11 @@
     co_return endpointFailure(Failure);
   }
   const auto &Message = Self->Reader->get();
+  if (hasUnknownCoding(Message)) {
+    Self->Failed = true;
+    co_return refuse(ErrorKind::EndpointFailed,
+                     "the transfer coding of the response is unknown");
+  }
   HttpHead Head{static_cast<int>(Message.result_int()), {}};
   for (const auto &Field : Message) {
     const auto Name = Field.name_string();
--- a/packages/relay/test/TruncatedAnswersTest.cpp
+++ b/packages/relay/test/TruncatedAnswersTest.cpp
@@ -101,6 +101,18 @@
     checkIsNotAnswered(closing(Signed + Fields + "\r\ndone"));
 }
 
+/// The body would be that of another coding, or end where its bytes do not say.
+BOOST_AUTO_TEST_CASE(AreNoSuccessIfTheTransferCodingIsUnknown) {
+  for (const char *Fields :
+       {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: chunked, gzip\r\n",
+        "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n",
+        "Transfer-Encoding: xchunked\r\n"})
+    checkIsNotAnswered(closing(Signed + Fields + "\r\ndone"));
+  checkIsNotAnswered(closing(Signed +
+                             "Transfer-Encoding: gzip, chunked\r\n\r\n" +
+                             encodeChunk("done") + std::string(LastChunk)));
+}
+
 BOOST_AUTO_TEST_CASE(AreNoSuccessIfTheyAreOfAnotherProtocol) {
   checkIsNotAnswered(closing("done\r\n"));
   checkIsNotAnswered(closing("<html>done</html>"));
