Skip interim responses

An answer that an endpoint announced with 100, 102 or 103 was lost: the interim response was taken for the answer, and the caller got 502 although the work was done. Any HTTP/1.1 server may send interim responses. At most eight are skipped before a response; 101 stays an error, since nothing asks for another protocol. The reader keeps in mind that the request was HEAD when it starts again.

InterimResponses/PrecedeTheAnswer failed before with 502 on each route. AreNoAnswer and WithoutEndCloseTheConnection passed on the code before.

--- a/packages/net/include/tamarack/net/HttpCall.h
+++ b/packages/net/include/tamarack/net/HttpCall.h
@@ -96,7 +96,8 @@
   /// Writes the encoded request \p Text in the background. \p HeadOnly says
   /// that the response has no body, as for HEAD.
   void send(std::string Text, bool HeadOnly = false);
-  /// Reads the status and fields of the response. Fails with EndpointFailed.
+  /// Reads the status and fields of the response, and skips interim responses
+  /// before it. Fails with EndpointFailed.
   Task<Expected<HttpHead>> readHead();
   /// Discards the rest of the current response, which belongs to an earlier
   /// request, so that the next readHead() reads the response after it. Fails
--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -26,6 +26,13 @@
 /// A connection that has carried more refusals is closed.
 constexpr std::size_t MaxRefusalsPerConnection = 64;
 
+/// The maximum number of interim responses that are skipped before a response.
+constexpr int MaxInterimResponses = 8;
+
+/// Whether the response to the request is still to come. After 101, which
+/// nothing asks for, the connection speaks another protocol.
+bool isInterim(unsigned Status) { return Status < 200 && Status != 101; }
+
 /// Whether the server has neither closed the connection nor sent bytes on it.
 bool isIdle(HttpConnection &Connection) {
   char Next = 0;
@@ -123,11 +130,13 @@
     Reader.emplace();
     Reader->header_limit(MaxHeadBytes);
     Reader->body_limit(Pool.limits().MaxResponseBodyBytes);
+    Reader->skip(HeadOnly);
   }
 
   ConnectionPool &Pool;
   std::unique_ptr<HttpConnection> Connection;
   std::optional<http::response_parser<http::string_body>> Reader;
+  bool HeadOnly = false;
   std::string Writing;
   bool Written = false;
   bool Aborted = false;
@@ -184,8 +193,8 @@
 
 void HttpCall::send(std::string Text, bool HeadOnly) {
   Inner->Writing = std::move(Text);
-  if (HeadOnly)
-    Inner->Reader->skip(true);
+  Inner->HeadOnly = HeadOnly;
+  Inner->Reader->skip(HeadOnly);
   spawn(Inner->Pool.loop(), [](std::shared_ptr<Impl> Self) -> Task<void> {
     co_await Self->write();
   }(Inner));
@@ -193,13 +202,22 @@
 
 Task<Expected<HttpHead>> HttpCall::readHead() {
   const auto Self = Inner;
-  ErrorCode Failure;
-  co_await http::async_read_header(Self->Connection->Socket,
-                                   Self->Connection->Buffer, *Self->Reader,
-                                   storeErrorIn(Failure));
-  if (Failure) {
-    Self->noteReadFailure(Failure);
-    co_return endpointFailure(Failure);
+  for (int Interim = 0;; ++Interim) {
+    ErrorCode Failure;
+    co_await http::async_read_header(Self->Connection->Socket,
+                                     Self->Connection->Buffer, *Self->Reader,
+                                     storeErrorIn(Failure));
+    if (Failure) {
+      Self->noteReadFailure(Failure);
+      co_return endpointFailure(Failure);
+    }
+    if (!isInterim(Self->Reader->get().result_int()))
+      break;
+    if (Interim == MaxInterimResponses) {
+      Self->Failed = true;
+      co_return refuse(ErrorKind::EndpointFailed, "too many interim responses");
+    }
+    Self->restartReader();
   }
   const auto &Message = Self->Reader->get();
   if (hasUnknownCoding(Message)) {
--- a/packages/relay/test/TruncatedAnswersTest.cpp
+++ b/packages/relay/test/TruncatedAnswersTest.cpp
@@ -300,6 +300,38 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against an answer that is lost because the endpoint announces it with
+/// an interim response, which any HTTP/1.1 server may send.
+BOOST_FIXTURE_TEST_SUITE(InterimResponses, AnswerFixture)
+
+BOOST_AUTO_TEST_CASE(PrecedeTheAnswer) {
+  const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n"
+                              "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+  checkIsAnswered({Interim + signedResponse("done")}, "done");
+  setResponses({{Interim + completeStream(1)}});
+  BOOST_TEST(send("POST", "/turn/x").Body == "id: 1\ndata: d1\n\n");
+  setResponses({{Interim + Signed + "Content-Length: 5\r\n\r\n"}});
+  BOOST_TEST(send("HEAD", "/once/x").Status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(AreNoAnswer) {
+  checkIsNotAnswered(closing("HTTP/1.1 102 Processing\r\n\r\n"));
+  checkIsNotAnswered(closing("HTTP/1.1 101 Switching Protocols\r\n"
+                             "Upgrade: x\r\n" +
+                             SignedFields + "\r\ndone"));
+}
+
+BOOST_AUTO_TEST_CASE(WithoutEndCloseTheConnection) {
+  ScriptedResponse Response;
+  Response.Endless = "HTTP/1.1 102 Processing\r\n\r\n";
+  const TimePoint SentAt = steadyNow();
+  checkIsNotAnswered(Response);
+  // Long before the deadline of 2 s.
+  BOOST_TEST((steadyNow() - SentAt < Duration(1s)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 /// Guards against a request of a kept connection that was passed on and ends
 /// with a closed connection instead of an answer.
 BOOST_FIXTURE_TEST_SUITE(KeptConnections, AnswerFixture)
