--- a/packages/net/include/tamarack/net/HttpCall.h
+++ b/packages/net/include/tamarack/net/HttpCall.h
@@ -96,7 +96,8 @@
   /// Writes the encoded request \p Text in the background. \p HeadOnly says
   /// that the response has no body, as for HEAD.
   void send(std::string Text, bool HeadOnly = false);
-  /// Reads the status and fields of the response. Fails with EndpointFailed.
+  /// Reads the status and fields of the response, and skips interim responses
+  /// before it. Fails with EndpointFailed.
   Task<Expected<HttpHead>> readHead();
   /// Discards the rest of the current response, which belongs to an earlier
   /// request, so that the next readHead() reads the response after it. Fails
@@ -116,6 +117,9 @@
 
   /// Whether the connection has already carried an earlier request.
   bool reused() const;
+  /// Whether the end of the response follows from its length or its chunks, as
+  /// opposed to the end of the connection. Valid once readHead() has returned.
+  bool isEndMarked() const;
   /// Whether a read failed because the server ended the connection, as opposed
   /// to bytes that are no response or to abort().
   bool isEndedByServer() const;
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -38,6 +38,12 @@
          Failure != http::error::partial_message;
 }
 
+/// Whether the response of \p Status to a request of \p Method may have a
+/// body. Bytes of one would be read as the next response.
+bool mayHaveBody(const std::string &Method, int Status) {
+  return Method != "HEAD" && Status != 204 && Status != 304;
+}
+
 int statusOf(const ErrorCode &Failure) {
   if (Failure == http::error::header_limit)
     return 431;
@@ -257,11 +263,15 @@
 
 Task<bool> HttpSession::answer(HttpResponse Response) {
   KeepAlive = KeepAlive && !Server->Draining;
-  Response.Head.Fields.add("Content-Length",
-                           std::to_string(Response.Body.size()));
+  if (mayHaveBody(Request.Method, Response.Head.Status))
+    Response.Head.Fields.add("Content-Length",
+                             std::to_string(Response.Body.size()));
+  else
+    Response.Body.clear();
   if (!KeepAlive)
     Response.Head.Fields.add("Connection", "close");
   ResponseSent = true;
+  PendingHead.clear();
   std::string Text = encodeHead(Response.Head) + Response.Body;
   co_return co_await write(std::move(Text));
 }
@@ -272,15 +282,16 @@
   if (!KeepAlive)
     Head.Fields.add("Connection", "close");
   PendingHead = encodeHead(Head);
-  ResponseStarted = true;
 }
 
 Task<bool> HttpSession::sendChunk(std::string_view Data) {
+  ResponseStarted = true;
   std::string Text = std::exchange(PendingHead, {}) + encodeChunk(Data);
   co_return co_await write(std::move(Text));
 }
 
 Task<bool> HttpSession::end() {
+  ResponseStarted = true;
   ResponseSent = true;
   std::string Text = std::exchange(PendingHead, {}) + std::string(LastChunk);
   co_return co_await write(std::move(Text));
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -25,6 +25,23 @@
   return Result;
 }
 
+tl::unexpected<Error> brokenStream(std::string Reason) {
+  return refuse(ErrorKind::EndpointFailed, std::move(Reason));
+}
+
+/// Whether a stream that has ended between two events is complete. One without
+/// events is not, unless it resumes after the last event and its end is marked:
+/// the connections of a process that is killed are closed too.
+bool isCompleteStream(const StreamState &State, bool IsResumed,
+                      bool IsEndMarked) {
+  return State.Events > 0 || (IsResumed && IsEndMarked);
+}
+
+/// Whether \p Event is the head of an HTTP response, which no event looks like.
+bool isHttpHead(const StreamEvent &Event) {
+  return Event.Text.rfind("HTTP/1.", 0) == 0;
+}
+
 /// An error for a request that no endpoint ran.
 Error notRunError(ErrorKind Kind, std::string Message) {
   return {Kind, std::move(Message), NotRun::Proved, {}};
@@ -233,7 +250,8 @@
   else
     Endpoints.onFailure(To.Endpoint, steadyNow());
   const bool IsBroken = Outcome == StreamOutcome::Indeterminate &&
-                        !Context.isCancelled() && Call->isEndedByServer();
+                        !Context.isCancelled() &&
+                        (Call->isEndedByServer() || !Call->isEndMarked());
   if (Outcome == StreamOutcome::Indeterminate)
     Call->abort();
   else
@@ -254,11 +272,20 @@
                                                StreamState &State,
                                                HttpCall &Call, EndpointId From,
                                                HttpHead Head) {
-  if (Head.Status == 200 && isForwardable(Head)) {
+  const bool HasEvents = Context.Caller.request().Method != "HEAD";
+  if (Head.Status == 200 && HasEvents && isForwardable(Head)) {
     removeHopByHop(Head.Fields);
     Context.Caller.begin(std::move(Head));
-    const bool Complete = co_await relayEvents(Context, State, Call);
-    co_return Complete ? StreamOutcome::Finished : StreamOutcome::Indeterminate;
+    const Expected<void> Relayed = co_await relayEvents(Context, State, Call);
+    if (Relayed)
+      co_return StreamOutcome::Finished;
+    LogLine("entry.broken_answer")
+        .with("request", Context.Metadata.RequestId)
+        .with("endpoint", From)
+        .with("reused", Call.reused() ? 1 : 0)
+        .with("events", State.Events)
+        .with("reason", Relayed.error().Message);
+    co_return StreamOutcome::Indeterminate;
   }
   Expected<std::string> Body = co_await readBody(Call, Head);
   if (Body && isRefusal(Head))
@@ -270,27 +297,43 @@
   co_return StreamOutcome::ErrorForwarded;
 }
 
-Task<bool> Relay::Impl::relayEvents(RequestContext &Context, StreamState &State,
-                                    HttpCall &Call) {
+Task<Expected<void>> Relay::Impl::relayEvents(RequestContext &Context,
+                                              StreamState &State,
+                                              HttpCall &Call) {
   while (true) {
     const Expected<std::optional<std::string>> Piece =
         co_await Call.readPiece();
-    if (!Piece || Context.isCancelled())
-      co_return false;
+    if (Context.isCancelled())
+      co_return brokenStream("the request was cancelled");
+    if (!Piece)
+      co_return tl::unexpected(Piece.error());
+    if (!*Piece && State.Splitter.hasPartialEvent())
+      co_return brokenStream("the stream ends inside an event");
+    if (!*Piece && !isCompleteStream(State, hasReceivedEvents(Context.Metadata),
+                                     Call.isEndMarked()))
+      co_return brokenStream("the stream ends before its first event");
     if (!*Piece)
-      co_return !State.Splitter.hasPartialEvent();
+      co_return Expected<void>();
     if (isVersionInDoubt(Context)) {
       if (Context.RequiredVersion)
-        co_return false;
+        co_return brokenStream("the version of the endpoint is in doubt");
       if (Context.Origin && Context.Origin->Process)
         forgetOrigin(Context);
     }
     State.Splitter.feed(**Piece);
     std::string Ready;
+    const char *Fault = nullptr;
     while (std::optional<StreamEvent> Event = State.Splitter.next()) {
+      if (isHttpHead(*Event)) {
+        Fault = "another response follows in the stream";
+        break;
+      }
       const std::optional<std::uint64_t> Id = parseNumber(Event->Id);
-      if (Event->HasData && Id && State.LastId != 0 && *Id != State.LastId + 1)
-        co_return false;
+      if (Event->HasData && Id && State.LastId != 0 &&
+          *Id != State.LastId + 1) {
+        Fault = "an event is missing";
+        break;
+      }
       if (Event->HasData) {
         State.LastId = Id.value_or(State.LastId);
         if (State.Events++ == 0)
@@ -301,13 +344,15 @@
       }
       Ready += Event->Text;
     }
-    if (State.Splitter.partialBytes() > MaxEventBytes)
-      co_return false;
-    if (Ready.empty())
-      continue;
-    const bool Sent = co_await Context.Caller.sendChunk(Ready);
-    if (!Sent)
-      co_return false;
+    if (Fault == nullptr && State.Splitter.partialBytes() > MaxEventBytes)
+      Fault = "an event is too long";
+    if (!Ready.empty()) {
+      const bool Sent = co_await Context.Caller.sendChunk(Ready);
+      if (!Sent)
+        co_return brokenStream("the caller has disconnected");
+    }
+    if (Fault != nullptr)
+      co_return brokenStream(Fault);
   }
 }
 
