Send records to other ledgers as soon as a connection is lost

Callers waited up to 80 ms longer for each reservation, and for the end of each retained turn, that was in flight when a ledger stopped, and again about once a second while it stayed away.

Cause: a call to a ledger whose connection is lost stays pending until its deadline, as the link opens a new connection and sends it again. The round that stores the record took that for a slow member and waited the whole timeout of a silent one, although the end of the connection had told it.

Now a lost connection wakes the rounds. A round that still needs a member without a connection sends the record to the remaining ones at once, and a chain request has no head start at such a member. That is safe, as calls are idempotent and a record counts only once enough members have answered.

The test failed before: "check (FastestAtTheStop < SilentMemberCost)" and "check (FastestWhileDown < SilentMemberCost)", with 80 ms for a silent member.

Two tests rule out more: a reply that is lost with a closed server is asked for again and each call reports one result (LinkClientResends); reservations whose ledger stops while they are in flight are told as stored and charged once (OnceAlthoughTheirRepliesAreLostWithALedger). Both pass without the fix.

--- a/packages/net/test/LinkClientTest.cpp
+++ b/packages/net/test/LinkClientTest.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <map>
 
 using namespace tamarack;
 using namespace std::chrono_literals;
@@ -88,3 +89,56 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(LinkClientResends)
+
+/// A server that is closed destroys replies that the client has not read, and
+/// calls that it has not read itself. A caller that took either for an outcome
+/// would report a failure as a success or the reverse.
+BOOST_AUTO_TEST_CASE(CallsWithoutAReplyAndReportsOneResultForEach) {
+  constexpr const char *Address = "127.0.0.1:19651";
+  constexpr int Calls = 50;
+  constexpr int CallsBeforeClose = 20;
+  Loop Io{1};
+  int HandledByFirst = 0;
+  std::unique_ptr<LinkServer> First;
+  First =
+      std::make_unique<LinkServer>(Io, [&](const std::string &, const Json &,
+                                           const LinkServer::Reply &Answer) {
+        Answer(Json("first"));
+        if (++HandledByFirst == CallsBeforeClose)
+          First->close();
+      });
+  BOOST_REQUIRE(First->listen(Address));
+  const auto Link = LinkClient::make(Io, Address, LinkOptions());
+  std::map<int, int> Results;
+  int Failures = 0;
+  for (int Number = 0; Number < Calls; ++Number)
+    Link->call("any", encodeBody(Number), steadyNow() + 5s,
+               [&, Number](const Expected<Json> &Body) {
+                 ++Results[Number];
+                 Failures += Body ? 0 : 1;
+               });
+  const TimePoint Deadline = steadyNow() + 5s;
+  while (HandledByFirst < CallsBeforeClose && steadyNow() < Deadline)
+    Io.run_one_for(10ms);
+  Io.run_for(20ms);
+  BOOST_REQUIRE(static_cast<int>(Results.size()) < Calls);
+  int HandledBySecond = 0;
+  LinkServer Second(Io, [&](const std::string &, const Json &,
+                            const LinkServer::Reply &Answer) {
+    ++HandledBySecond;
+    Answer(Json("second"));
+  });
+  BOOST_REQUIRE(Second.listen(Address));
+  while (static_cast<int>(Results.size()) < Calls && steadyNow() < Deadline)
+    Io.run_for(10ms);
+  Io.run_for(100ms);
+  BOOST_TEST(static_cast<int>(Results.size()) == Calls);
+  BOOST_TEST(std::all_of(Results.begin(), Results.end(),
+                         [](const auto &Each) { return Each.second == 1; }));
+  BOOST_TEST(Failures == 0);
+  BOOST_TEST(HandledByFirst + HandledBySecond >= Calls);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/quorum/src/QuorumClient.cpp
+++ b/packages/quorum/src/QuorumClient.cpp
@@ -21,10 +21,10 @@
 /// The minimum time between load reports: short enough to show a burst of some
 /// tens of turns per second, long enough to cost only a few bytes per turn.
 constexpr Duration LoadReportInterval = std::chrono::milliseconds(40);
-/// If a member has not stored a record within this time, the record is sent to
-/// the other members as well, and the slow member comes last in the order for
-/// DeprioritizePeriod. Allows for 40 ms between regions, a sync of 5 ms, and
-/// some load.
+/// If a member has not stored a record within this time, or its connection is
+/// lost before, the record is sent to the other members as well, and the member
+/// comes last in the order for DeprioritizePeriod. Allows for 40 ms between
+/// regions, a sync of 5 ms, and some load.
 constexpr Duration MemberTimeout = std::chrono::milliseconds(80);
 constexpr Duration DeprioritizePeriod = std::chrono::seconds(1);
 /// How long a chain request waits for the nearest member before it is sent to
@@ -70,6 +70,10 @@
   /// Members that were slow to store a record, and until when they come last in
   /// the order.
   std::map<std::string, TimePoint> DeprioritizedUntil;
+  /// Members whose connection was lost and has not been opened again.
+  std::set<std::string> LostConnections;
+  /// The rounds that wait for members.
+  std::set<std::shared_ptr<StoreRound>> Rounds;
   QuorumReachability Reach;
   bool TicksRunning = false;
   bool CutOffLogged = false;
@@ -88,6 +92,11 @@
     return Found == Links.end() ? nullptr : Found->second;
   }
   std::shared_ptr<LinkClient> makeLink(const std::string &Address);
+  void onConnectionChange(const std::string &Address, bool Up);
+  /// Whether a member that must still store the record cannot be reached.
+  bool waitsForLostMember(const StoreRound &State) const;
+  /// Moves the members that have not stored the record to the end of the order.
+  void deprioritizeUnstored(const StoreRound &State);
   /// Calls a member and tracks whether it responds.
   void callMember(const std::shared_ptr<LinkClient> &Link,
                   const std::string &Name, const LinkBody &Body,
@@ -136,6 +145,9 @@
         Existing != Links.end() ? Existing->second : makeLink(Member.Address);
   }
   Links.swap(NewLinks);
+  std::erase_if(LostConnections, [this](const std::string &Address) {
+    return Links.count(Address) == 0;
+  });
   std::vector<std::string> Addresses;
   Addresses.reserve(Links.size());
   for (const auto &[Address, Link] : Links)
@@ -156,13 +168,39 @@
                                 const std::string &Peer, bool Up) {
     if (Next)
       Next(Peer, Up);
-    const auto Self = Weak.lock();
-    if (Self && !Up)
-      Self->Reach.onConnectionLost(Peer);
+    if (const auto Self = Weak.lock())
+      Self->onConnectionChange(Peer, Up);
   };
   return LinkClient::make(Io, Address, std::move(Link));
 }
 
+void QuorumClient::Impl::onConnectionChange(const std::string &Address,
+                                            bool Up) {
+  if (Up) {
+    LostConnections.erase(Address);
+    return;
+  }
+  Reach.onConnectionLost(Address);
+  LostConnections.insert(Address);
+  DeprioritizedUntil[Address] = steadyNow() + DeprioritizePeriod;
+  for (const auto &Round : Rounds)
+    Round->Changed.raise();
+}
+
+bool QuorumClient::Impl::waitsForLostMember(const StoreRound &State) const {
+  return std::any_of(State.SentInFull.begin(), State.SentInFull.end(),
+                     [&](const std::string &Sent) {
+                       return State.Stored.count(Sent) == 0 &&
+                              LostConnections.count(Sent) > 0;
+                     });
+}
+
+void QuorumClient::Impl::deprioritizeUnstored(const StoreRound &State) {
+  for (const std::string &Sent : State.SentInFull)
+    if (State.Stored.count(Sent) == 0)
+      DeprioritizedUntil[Sent] = steadyNow() + DeprioritizePeriod;
+}
+
 void QuorumClient::Impl::callMember(const std::shared_ptr<LinkClient> &Link,
                                     const std::string &Name,
                                     const LinkBody &Body, TimePoint Deadline,
@@ -334,9 +372,6 @@
     const std::shared_ptr<StoreRound> &State) {
   const LinkBody FullBody = encodeBody(RecordRequest{
       Current.Number, Update.Record, Update.RanAt, {}, Update.ResumedTurn});
-  for (const std::string &Sent : State->SentInFull)
-    if (State->Stored.count(Sent) == 0)
-      DeprioritizedUntil[Sent] = steadyNow() + DeprioritizePeriod;
   for (const ViewMember &Member :
        joinedByDistance(Update.Record.Program.text()))
     if (State->SentInFull.insert(Member.Address).second) {
@@ -357,6 +392,7 @@
       Update.Record.Text ? Options.DurableCopies : 0;
   const TimePoint SlowAt = steadyNow() + MemberTimeout;
   bool SentToAll = false;
+  Rounds.insert(State);
   sendToNearest(Update, Deadline, State);
   const auto IsStored = [&] {
     return State->Stored.size() >= Needed &&
@@ -368,7 +404,10 @@
     const bool AllAnswered = State->Answered >= State->Sent;
     if (SentToAll && AllAnswered)
       break;
-    if (!SentToAll && (AllAnswered || steadyNow() >= SlowAt)) {
+    const bool IsLate = AllAnswered || steadyNow() >= SlowAt;
+    if (!SentToAll && (IsLate || waitsForLostMember(*State))) {
+      if (IsLate)
+        deprioritizeUnstored(*State);
       SentToAll = true;
       sendToRemaining(Update, Deadline, State);
       continue;
@@ -377,6 +416,7 @@
         SentToAll ? steadyNow() + StateCheckInterval : SlowAt;
     co_await State->Changed.wait(std::min(Deadline, WakeAt));
   }
+  Rounds.erase(State);
   co_return IsStored();
 }
 
@@ -542,7 +582,7 @@
     const LinkBody Body = encodeBody(ChainRequest{Number, Turn});
     for (std::size_t Index = 0; Index < Members.size(); ++Index) {
       Self->sendChainRequest(Members[Index], Body, Deadline, State, true);
-      if (Index == 0) {
+      if (Index == 0 && LostConnections.count(Members[Index].Address) == 0) {
         co_await State->Changed.wait(steadyNow() + NearestMemberHeadStart);
       }
       if (!State->Found.empty())
--- a/packages/quorum/test/QuorumFixture.h
+++ b/packages/quorum/test/QuorumFixture.h
@@ -137,6 +137,29 @@
                                            Duration Timeout = 5s) {
     return await(Client.storeRecord({Record, {}}, steadyNow() + Timeout));
   }
+  /// Stores reservations of several programs at once, which have different
+  /// nearest ledgers. Returns how long it took until all were stored.
+  Duration storeReservations() {
+    constexpr int Programs = 8;
+    const TimePoint Begun = steadyNow();
+    const auto Stored = std::make_shared<int>(0);
+    for (int Number = 0; Number < Programs; ++Number) {
+      TurnRecord Record{
+          ProgramId("program-" + std::to_string(Number)),
+          TurnId("reservation-" + std::to_string(ReservationCount++)),
+          {10, false},
+          nullptr,
+          {}};
+      asio::co_spawn(Io,
+                     Client.storeRecord({std::move(Record), {}}, Begun + 5s),
+                     [Stored](const std::exception_ptr &,
+                              const Expected<QuorumProgramState> &Result) {
+                       *Stored += Result ? 1 : 0;
+                     });
+    }
+    until([&] { return *Stored == Programs; });
+    return steadyNow() - Begun;
+  }
   std::string chain(const std::string &Id, Duration Timeout = 5s) {
     const Expected<TurnChain> Chain =
         await(Client.chain(TurnId(Id), steadyNow() + Timeout));
@@ -155,6 +178,7 @@
   std::map<int, std::unique_ptr<LedgerNode>> Nodes;
   QuorumClient Client{Io, {}};
   int StartCount = 0;
+  int ReservationCount = 0;
   /// How old the ledgers' lists of endpoints are.
   std::optional<Duration> LedgerListAge;
   std::uint64_t CompactAfterBytes = 96U << 20U;
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -72,6 +72,73 @@
   }
 }
 
+/// A lost connection tells at once what a silent one tells only after the
+/// timeout: the records must go to another ledger. A ledger that stays down is
+/// tried again now and then, which must not delay records either.
+BOOST_FIXTURE_TEST_CASE(WithoutDelayOnceTheConnectionToALedgerIsLost,
+                        QuorumFixture) {
+  constexpr Duration SilentMemberCost = 80ms;
+  startAll();
+  useCurrentView();
+  storeReservations();
+  // A busy machine may delay some of them, so the fastest round counts.
+  Duration FastestAtTheStop = Duration::max();
+  Duration FastestWhileDown = Duration::max();
+  for (const int Down : {1, 2, 3}) {
+    stop(Down);
+    FastestAtTheStop = std::min(FastestAtTheStop, storeReservations());
+    Io.run_for(1100ms);
+    FastestWhileDown = std::min(FastestWhileDown, storeReservations());
+    start(Down);
+    Io.run_for(1100ms);
+    storeReservations();
+  }
+  BOOST_TEST((FastestAtTheStop < SilentMemberCost));
+  BOOST_TEST((FastestWhileDown < SilentMemberCost));
+}
+
+/// A ledger that stops may have stored records whose replies nobody has read:
+/// they are sent again, and must be told as stored and be charged once.
+BOOST_FIXTURE_TEST_CASE(OnceAlthoughTheirRepliesAreLostWithALedger,
+                        QuorumFixture) {
+  constexpr int RecordsPerStop = 20;
+  startAll();
+  useCurrentView();
+  storeReservations();
+  int Sent = 0;
+  const auto Stored = std::make_shared<int>(0);
+  for (const int Down : {1, 2, 3, 1, 2, 3}) {
+    for (int Number = 0; Number < RecordsPerStop; ++Number)
+      asio::co_spawn(Io,
+                     Client.storeRecord({{ProgramId("p"),
+                                          TurnId("t" + std::to_string(++Sent)),
+                                          {10, false},
+                                          nullptr,
+                                          {}},
+                                         {}},
+                                        steadyNow() + 5s),
+                     [Stored](const std::exception_ptr &,
+                              const Expected<QuorumProgramState> &Result) {
+                       *Stored += Result ? 1 : 0;
+                     });
+    // The ledger gets some of the records before it stops.
+    const std::uint64_t Before = Nodes[Down]->status().RecordsStored;
+    const TimePoint GiveUpAt = steadyNow() + 100ms;
+    while (Nodes[Down]->status().RecordsStored == Before &&
+           steadyNow() < GiveUpAt)
+      Io.run_one_for(1ms);
+    stop(Down);
+    until([&] { return *Stored == Sent; });
+    start(Down);
+    Io.run_for(200ms);
+  }
+  const auto State =
+      storeRecord({ProgramId("p"), TurnId("probe"), {0, false}, nullptr, {}});
+  BOOST_REQUIRE(State);
+  BOOST_TEST(committedTokens(State->Charges) ==
+             static_cast<TokenCount>(10 * Sent));
+}
+
 BOOST_FIXTURE_TEST_CASE(NotWhileTwoAreDown, QuorumFixture) {
   startAll();
   useCurrentView();
