Stop a ledger only once the others make a quorum

Callers got 503 for turns, and retained turns without an end, while two of three ledgers were stopped one after the other before the first was back.

Cause: a ledger left its loop at once on SIGTERM, also as one of the two that a record needs. Planned work thus took more members than the deployment bears.

Pings say whether the ledger is stopping; of several, the one with the smaller folder goes first, so that they neither wait for each other nor go together. Earlier releases do not send that field and count as serving.

--- a/packages/quorum/include/tamarack/quorum/LedgerNode.h
+++ b/packages/quorum/include/tamarack/quorum/LedgerNode.h
@@ -4,6 +4,7 @@
 ///   if (auto Started = Node.start(); !Started) ...
 ///   Node.viewChanged(Latest);      // from a watch on the platform's store
 ///   co_await Node.retire();        // when operators retire the instance
+///   co_await Node.prepareStop(Deadline); // before a planned stop
 ///
 /// View.h describes how members join and leave the quorum. A record is
 /// acknowledged only once it is on disk.
@@ -100,6 +101,10 @@
   /// ledger: a member that replaces it has joined, or every joined member holds
   /// them. If false, call it again.
   Task<bool> retire();
+  /// Waits until the other members make a quorum without this ledger, at most
+  /// until \p Deadline; serves meanwhile. Returns whether they do. Of members
+  /// that are stopped at the same time, one after the other is let go.
+  Task<bool> prepareStop(TimePoint Deadline);
   LedgerStatus status() const;
   /// Calls \p Name of the ledger at \p Address.
   Task<Expected<Json>> call(std::string Address, std::string Name, Json Body,
--- a/packages/quorum/include/tamarack/quorum/QuorumClient.h
+++ b/packages/quorum/include/tamarack/quorum/QuorumClient.h
@@ -88,7 +88,7 @@
   const View &view() const;
   /// Whether the view has at least Options.DurableCopies members.
   bool hasView() const;
-  /// Whether enough members for a quorum have answered and still do.
+  /// Whether enough joined members for a quorum have answered and still do.
   bool isReachable() const;
   /// Whether a quorum could be reached before and has been out of reach for
   /// some seconds, so that requests are better sent to another entry.
--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -30,6 +30,10 @@
 constexpr Duration CatchUpTimeout = std::chrono::seconds(5);
 /// How often the members are asked whether they have fetched them.
 constexpr Duration CatchUpPollInterval = std::chrono::milliseconds(100);
+/// How long a ledger that is about to stop waits for the answers of the others,
+/// which may be in another region, and how often it asks them.
+constexpr Duration StopPingTimeout = std::chrono::milliseconds(400);
+constexpr Duration StopPollInterval = std::chrono::milliseconds(50);
 /// Turns fetched in one call: about 0.2 MB of text, which a shared link of
 /// 60 Mbit/s transfers well within CallTimeout. Several calls are in flight at
 /// a time because each of them waits in the queue of a busy source.
@@ -386,6 +390,53 @@
   co_return false;
 }
 
+Task<bool> LedgerNode::prepareStop(TimePoint Deadline) {
+  const auto Self = Inner;
+  Self->Stopping = true;
+  while (true) {
+    const bool Done = co_await Self->isDispensable();
+    if (Done || steadyNow() >= Deadline)
+      co_return Done;
+    co_await pause(Self->Io, StopPollInterval);
+  }
+}
+
+Task<bool> LedgerNode::Impl::isDispensable() {
+  const FolderId Own = Log->folderId();
+  const View Of = CurrentView;
+  const ViewMember *Member = findMember(Of, Own);
+  const std::size_t Needed = requiredCopies(Of, Options.DurableCopies);
+  const bool CanBeReplaced = Of.Members.size() > Needed;
+  if (Member == nullptr || !Member->Joined || !CanBeReplaced)
+    co_return true;
+  struct PingState {
+    std::size_t Asked = 0;
+    std::size_t Answered = 0;
+    std::size_t Serving = 0;
+  };
+  const auto State = std::make_shared<PingState>();
+  const TimePoint Until = steadyNow() + StopPingTimeout;
+  for (const ViewMember &Other : Of.Members) {
+    if (!Other.Joined || Other.Folder == Own)
+      continue;
+    ++State->Asked;
+    linkTo(Other.Address)
+        ->call(
+            calls::Ping, encodeBody(nullptr), Until,
+            [State, Own, Folder = Other.Folder](const Expected<Json> &Answer) {
+              ++State->Answered;
+              const std::optional<PingResponse> Ping = parsePing(Answer);
+              // Of two that stop, the one with the smaller folder goes first.
+              if (Ping && Ping->Folder == Folder &&
+                  (!Ping->Stopping || Own < Folder))
+                ++State->Serving;
+            });
+  }
+  while (State->Serving < Needed && State->Answered < State->Asked)
+    co_await pause(Io, StopPollInterval / 10);
+  co_return State->Serving >= Needed;
+}
+
 Task<bool> LedgerNode::Impl::askMembersToCatchUp(View Remaining) {
   const Json Body{{"view", Remaining},
                   {"from", publicAddress()},
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -86,6 +86,7 @@
   };
   std::map<FolderId, CatchUpProgress> CatchUps;
   bool Retiring = false;
+  bool Stopping = false;
   bool Stopped = false;
 
   // LedgerCalls.cpp: handlers of calls from other processes.
@@ -151,6 +152,8 @@
   /// Asks the joined members of \p Remaining to fetch the records of this one.
   /// Returns whether all of them have.
   Task<bool> askMembersToCatchUp(View Remaining);
+  /// Returns whether records can be stored while this ledger is down.
+  Task<bool> isDispensable();
   std::shared_ptr<LinkClient> linkTo(const std::string &Address);
   ViewMember self() const;
   /// What this ledger requires of views at the moment.
--- a/packages/quorum/test/QuorumFixture.h
+++ b/packages/quorum/test/QuorumFixture.h
@@ -171,6 +171,11 @@
     return Result;
   }
   void useCurrentView() { Client.setView(Views.Current); }
+  /// Tells all ledgers the current view, as a watch on the store does.
+  void tellView() {
+    for (const auto &[Number, Node] : Nodes)
+      Node->viewChanged(Views.Current);
+  }
 
   fs::path Root;
   Loop Io{1};
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -546,6 +546,89 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Two ledgers that are stopped one after the other must not be away at the
+/// same time, as planned work does not excuse turns that cannot be stored.
+BOOST_AUTO_TEST_SUITE(StopsAsPlanned)
+
+/// A ledger that prepares its stop while the loop runs.
+struct PlannedStop {
+  PlannedStop(QuorumFixture &Fixture, int Number, Duration Limit) {
+    asio::co_spawn(Fixture.Io,
+                   Fixture.Nodes[Number]->prepareStop(steadyNow() + Limit),
+                   [Done = Done](const std::exception_ptr &, bool Outcome) {
+                     *Done = Outcome;
+                   });
+  }
+  bool isDone() const { return Done->has_value(); }
+
+  std::shared_ptr<std::optional<bool>> Done =
+      std::make_shared<std::optional<bool>>();
+};
+
+BOOST_FIXTURE_TEST_CASE(AtOnceWhileTheOthersMakeAQuorum, QuorumFixture) {
+  startAll();
+  tellView();
+  const TimePoint Begun = steadyNow();
+  BOOST_TEST(await(Nodes[1]->prepareStop(Begun + 5s)));
+  BOOST_TEST((steadyNow() - Begun < 1s));
+}
+
+BOOST_FIXTURE_TEST_CASE(AtOnceIfItIsNoMember, QuorumFixture) {
+  startAll();
+  start(4);
+  Io.run_for(300ms);
+  stop(1);
+  BOOST_TEST(await(Nodes[4]->prepareStop(steadyNow() + 5s)));
+}
+
+BOOST_FIXTURE_TEST_CASE(OnceTheOneThatStoppedBeforeIsBack, QuorumFixture) {
+  startAll();
+  tellView();
+  useCurrentView();
+  storeReservations();
+  stop(1);
+  const PlannedStop Second(*this, 2, 8s);
+  Io.run_for(600ms);
+  BOOST_TEST(!Second.isDone());
+  BOOST_TEST((storeReservations() < 1s));
+  start(1);
+  until([&] { return Second.isDone(); });
+  BOOST_TEST(Second.Done->value());
+}
+
+BOOST_FIXTURE_TEST_CASE(OneAfterTheOtherIfSeveralAreStoppedAtOnce,
+                        QuorumFixture) {
+  startAll();
+  tellView();
+  useCurrentView();
+  std::map<int, PlannedStop> Stops;
+  for (const int Number : {1, 2, 3})
+    Stops.emplace(Number, PlannedStop(*this, Number, 8s));
+  std::set<int> Left = {1, 2, 3};
+  while (!Left.empty()) {
+    const auto IsDone = [&](int Number) { return Stops.at(Number).isDone(); };
+    until([&] { return std::any_of(Left.begin(), Left.end(), IsDone); });
+    Io.run_for(300ms);
+    BOOST_REQUIRE(std::count_if(Left.begin(), Left.end(), IsDone) == 1);
+    const int Down = *std::find_if(Left.begin(), Left.end(), IsDone);
+    stop(Down);
+    Left.erase(Down);
+    BOOST_TEST((storeReservations() < 1s));
+    start(Down);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(AtTheLimitIfTheOthersStayAway, QuorumFixture) {
+  startAll();
+  tellView();
+  stop(1);
+  const PlannedStop Second(*this, 2, 300ms);
+  until([&] { return Second.isDone(); });
+  BOOST_TEST(!Second.Done->value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(ChangesItsView)
 
 BOOST_FIXTURE_TEST_CASE(NotWhileAnUnresponsiveMemberKeepsItsConnections,
--- a/packages/turns/include/tamarack/turns/Messages.h
+++ b/packages/turns/include/tamarack/turns/Messages.h
@@ -182,6 +182,8 @@
 struct PingResponse {
   FolderId Folder;
   std::uint64_t ViewNumber = 0;
+  /// Whether the ledger is about to stop.
+  bool Stopping = false;
 };
 
 struct ListRecordsResponse {
--- a/packages/turns/src/Messages.cpp
+++ b/packages/turns/src/Messages.cpp
@@ -185,12 +185,16 @@
 }
 
 void to_json(Json &Value, const PingResponse &From) {
-  Value = Json{{"folder", From.Folder}, {"view", From.ViewNumber}};
+  Value = Json{{"folder", From.Folder},
+               {"view", From.ViewNumber},
+               {"stopping", From.Stopping}};
 }
 
 void from_json(const Json &Value, PingResponse &To) {
   Value.at("folder").get_to(To.Folder);
   Value.at("view").get_to(To.ViewNumber);
+  // Earlier releases do not send it.
+  To.Stopping = Value.value("stopping", false);
 }
 
 void to_json(Json &Value, const ListRecordsResponse &From) {
