Count only joined members as reachable ledgers

An entry whose only answering ledgers included one that had not joined, or was leaving, took turns that it could not store: each waited a second for its reservation and was answered 503, and readiness checks passed.

Cause: reachability was decided over all members of the view, but records are stored at joined members only. Now only these count. Where fewer members have joined than copies are needed, all of them suffice, since no other entry can reach more, and plain requests need no ledger.

IsOutOfReachIfOnlyMembersAnswerThatHaveNotJoined failed before: "the condition did not become true within 10 s" (waiting for !isReachable()).

--- a/packages/quorum/src/QuorumClient.cpp
+++ b/packages/quorum/src/QuorumClient.cpp
@@ -148,11 +148,12 @@
   std::erase_if(LostConnections, [this](const std::string &Address) {
     return Links.count(Address) == 0;
   });
-  std::vector<std::string> Addresses;
-  Addresses.reserve(Links.size());
-  for (const auto &[Address, Link] : Links)
-    Addresses.push_back(Address);
-  Reach.setMembers(Addresses, copiesNeeded());
+  std::vector<std::string> Joined;
+  for (const ViewMember &Member : Next.Members)
+    if (Member.Joined)
+      Joined.push_back(Member.Address);
+  // Where fewer have joined, no other entry reaches more of them.
+  Reach.setMembers(Joined, std::min(copiesNeeded(), Joined.size()));
   probeMembers();
   LogLine("ledgers.view")
       .with("number", Next.Number)
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -629,6 +629,29 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// An entry that takes members which accept no records for a quorum goes on
+/// taking turns that it cannot store, in place of sending callers elsewhere.
+BOOST_FIXTURE_TEST_CASE(IsOutOfReachIfOnlyMembersAnswerThatHaveNotJoined,
+                        QuorumFixture) {
+  startAll();
+  useCurrentView();
+  storeReservations();
+  BOOST_REQUIRE(Client.isReachable());
+  View Next = Views.Current;
+  // Two joined members are left, of which one is down.
+  Views.Unavailable = true;
+  Next.Number += 1;
+  Next.Members.back().Joined = false;
+  for (const int Number : {1, 2, 3})
+    if (options(Number, /*FirstStart=*/false).Instance ==
+        Next.Members.front().Instance)
+      stop(Number);
+  Client.setView(Next);
+  BOOST_TEST(!storeRecord(turn("a"), 300ms));
+  until([this] { return !Client.isReachable(); });
+  until([this] { return Client.isCutOff(); });
+}
+
 BOOST_AUTO_TEST_SUITE(ChangesItsView)
 
 BOOST_FIXTURE_TEST_CASE(NotWhileAnUnresponsiveMemberKeepsItsConnections,
