--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -72,6 +72,73 @@
   }
 }
 
+/// A lost connection tells at once what a silent one tells only after the
+/// timeout: the records must go to another ledger. A ledger that stays down is
+/// tried again now and then, which must not delay records either.
+BOOST_FIXTURE_TEST_CASE(WithoutDelayOnceTheConnectionToALedgerIsLost,
+                        QuorumFixture) {
+  constexpr Duration SilentMemberCost = 80ms;
+  startAll();
+  useCurrentView();
+  storeReservations();
+  // A busy machine may delay some of them, so the fastest round counts.
+  Duration FastestAtTheStop = Duration::max();
+  Duration FastestWhileDown = Duration::max();
+  for (const int Down : {1, 2, 3}) {
+    stop(Down);
+    FastestAtTheStop = std::min(FastestAtTheStop, storeReservations());
+    Io.run_for(1100ms);
+    FastestWhileDown = std::min(FastestWhileDown, storeReservations());
+    start(Down);
+    Io.run_for(1100ms);
+    storeReservations();
+  }
+  BOOST_TEST((FastestAtTheStop < SilentMemberCost));
+  BOOST_TEST((FastestWhileDown < SilentMemberCost));
+}
+
+/// A ledger that stops may have stored records whose replies nobody has read:
+/// they are sent again, and must be told as stored and be charged once.
+BOOST_FIXTURE_TEST_CASE(OnceAlthoughTheirRepliesAreLostWithALedger,
+                        QuorumFixture) {
+  constexpr int RecordsPerStop = 20;
+  startAll();
+  useCurrentView();
+  storeReservations();
+  int Sent = 0;
+  const auto Stored = std::make_shared<int>(0);
+  for (const int Down : {1, 2, 3, 1, 2, 3}) {
+    for (int Number = 0; Number < RecordsPerStop; ++Number)
+      asio::co_spawn(Io,
+                     Client.storeRecord({{ProgramId("p"),
+                                          TurnId("t" + std::to_string(++Sent)),
+                                          {10, false},
+                                          nullptr,
+                                          {}},
+                                         {}},
+                                        steadyNow() + 5s),
+                     [Stored](const std::exception_ptr &,
+                              const Expected<QuorumProgramState> &Result) {
+                       *Stored += Result ? 1 : 0;
+                     });
+    // The ledger gets some of the records before it stops.
+    const std::uint64_t Before = Nodes[Down]->status().RecordsStored;
+    const TimePoint GiveUpAt = steadyNow() + 100ms;
+    while (Nodes[Down]->status().RecordsStored == Before &&
+           steadyNow() < GiveUpAt)
+      Io.run_one_for(1ms);
+    stop(Down);
+    until([&] { return *Stored == Sent; });
+    start(Down);
+    Io.run_for(200ms);
+  }
+  const auto State =
+      storeRecord({ProgramId("p"), TurnId("probe"), {0, false}, nullptr, {}});
+  BOOST_REQUIRE(State);
+  BOOST_TEST(committedTokens(State->Charges) ==
+             static_cast<TokenCount>(10 * Sent));
+}
+
 BOOST_FIXTURE_TEST_CASE(NotWhileTwoAreDown, QuorumFixture) {
   startAll();
   useCurrentView();
@@ -479,6 +546,112 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Two ledgers that are stopped one after the other must not be away at the
+/// same time, as planned work does not excuse turns that cannot be stored.
+BOOST_AUTO_TEST_SUITE(StopsAsPlanned)
+
+/// A ledger that prepares its stop while the loop runs.
+struct PlannedStop {
+  PlannedStop(QuorumFixture &Fixture, int Number, Duration Limit) {
+    asio::co_spawn(Fixture.Io,
+                   Fixture.Nodes[Number]->prepareStop(steadyNow() + Limit),
+                   [Done = Done](const std::exception_ptr &, bool Outcome) {
+                     *Done = Outcome;
+                   });
+  }
+  bool isDone() const { return Done->has_value(); }
+
+  std::shared_ptr<std::optional<bool>> Done =
+      std::make_shared<std::optional<bool>>();
+};
+
+BOOST_FIXTURE_TEST_CASE(AtOnceWhileTheOthersMakeAQuorum, QuorumFixture) {
+  startAll();
+  tellView();
+  const TimePoint Begun = steadyNow();
+  BOOST_TEST(await(Nodes[1]->prepareStop(Begun + 5s)));
+  BOOST_TEST((steadyNow() - Begun < 1s));
+}
+
+BOOST_FIXTURE_TEST_CASE(AtOnceIfItIsNoMember, QuorumFixture) {
+  startAll();
+  start(4);
+  Io.run_for(300ms);
+  stop(1);
+  BOOST_TEST(await(Nodes[4]->prepareStop(steadyNow() + 5s)));
+}
+
+BOOST_FIXTURE_TEST_CASE(OnceTheOneThatStoppedBeforeIsBack, QuorumFixture) {
+  startAll();
+  tellView();
+  useCurrentView();
+  storeReservations();
+  stop(1);
+  const PlannedStop Second(*this, 2, 8s);
+  Io.run_for(600ms);
+  BOOST_TEST(!Second.isDone());
+  BOOST_TEST((storeReservations() < 1s));
+  start(1);
+  until([&] { return Second.isDone(); });
+  BOOST_TEST(Second.Done->value());
+}
+
+BOOST_FIXTURE_TEST_CASE(OneAfterTheOtherIfSeveralAreStoppedAtOnce,
+                        QuorumFixture) {
+  startAll();
+  tellView();
+  useCurrentView();
+  std::map<int, PlannedStop> Stops;
+  for (const int Number : {1, 2, 3})
+    Stops.emplace(Number, PlannedStop(*this, Number, 8s));
+  std::set<int> Left = {1, 2, 3};
+  while (!Left.empty()) {
+    const auto IsDone = [&](int Number) { return Stops.at(Number).isDone(); };
+    until([&] { return std::any_of(Left.begin(), Left.end(), IsDone); });
+    Io.run_for(300ms);
+    BOOST_REQUIRE(std::count_if(Left.begin(), Left.end(), IsDone) == 1);
+    const int Down = *std::find_if(Left.begin(), Left.end(), IsDone);
+    stop(Down);
+    Left.erase(Down);
+    BOOST_TEST((storeReservations() < 1s));
+    start(Down);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(AtTheLimitIfTheOthersStayAway, QuorumFixture) {
+  startAll();
+  tellView();
+  stop(1);
+  const PlannedStop Second(*this, 2, 300ms);
+  until([&] { return Second.isDone(); });
+  BOOST_TEST(!Second.Done->value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+/// An entry that takes members which accept no records for a quorum goes on
+/// taking turns that it cannot store, in place of sending callers elsewhere.
+BOOST_FIXTURE_TEST_CASE(IsOutOfReachIfOnlyMembersAnswerThatHaveNotJoined,
+                        QuorumFixture) {
+  startAll();
+  useCurrentView();
+  storeReservations();
+  BOOST_REQUIRE(Client.isReachable());
+  View Next = Views.Current;
+  // Two joined members are left, of which one is down.
+  Views.Unavailable = true;
+  Next.Number += 1;
+  Next.Members.back().Joined = false;
+  for (const int Number : {1, 2, 3})
+    if (options(Number, /*FirstStart=*/false).Instance ==
+        Next.Members.front().Instance)
+      stop(Number);
+  Client.setView(Next);
+  BOOST_TEST(!storeRecord(turn("a"), 300ms));
+  until([this] { return !Client.isReachable(); });
+  until([this] { return Client.isCutOff(); });
+}
+
 BOOST_AUTO_TEST_SUITE(ChangesItsView)
 
 BOOST_FIXTURE_TEST_CASE(NotWhileAnUnresponsiveMemberKeepsItsConnections,
