Keep the idle timeout of a drain when limits change

HttpServer::setLimits() replaced the idle timeout that drain() had set, so each user had to know of the drain when a configuration came during a stop.

Before, the new test fails: check Server.load().Idle == 0U has failed [1 != 0], the connection stays open. The server keeps the timeout itself now.

--- a/packages/net/include/tamarack/net/HttpServer.h
+++ b/packages/net/include/tamarack/net/HttpServer.h
@@ -128,6 +128,7 @@
   /// Accepts connections on \p Address, "IP:PORT". Fails with
   /// InvalidConfiguration.
   Expected<void> listen(const std::string &Address);
+  /// The idle timeout of drain() outlasts later limits.
   void setLimits(const HttpServerLimits &Limits);
   /// From now on each response closes its connection, and idle connections are
   /// closed after \p IdleTimeout.
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -350,7 +350,10 @@
 }
 
 void HttpServer::setLimits(const HttpServerLimits &Limits) {
+  const Duration IdleTimeout = Inner->Limits.KeepAliveTimeout;
   Inner->Limits = Limits;
+  if (Inner->Draining)
+    Inner->Limits.KeepAliveTimeout = IdleTimeout;
 }
 
 void HttpServer::drain(Duration IdleTimeout) {
