Log what a planned stop leaves

A caller without an answer during a planned stop left no trace: process.stopped named running handlers and unsettled records only. Requests that waited in a socket, were partly read, or whose connection was in the listen queue could not be told from requests that never came.

--- a/packages/relay/src/GracefulStop.cpp
+++ b/packages/relay/src/GracefulStop.cpp
@@ -42,6 +42,7 @@
                                   std::string_view Stage,
                                   Duration Elapsed) const {
   const HttpServerLoad Load = CallerServer.load();
+  const HttpServerCounts Counts = CallerServer.counts();
   LogLine(Event)
       .with("stage", Stage)
       .with("took_ms", Elapsed)
@@ -50,7 +51,12 @@
       .with("unaccepted", Load.Unaccepted)
       .with("idle", Load.Idle)
       .with("connections", CallerServer.connections())
-      .with("unsettled", Ledgers.pendingRecords());
+      .with("unsettled", Ledgers.pendingRecords())
+      .with("closed_unread", Counts.ClosedUnread)
+      .with("cut_while_reading", Counts.CutWhileReading)
+      .with("cut_running", Counts.CutAtDeadline.Running)
+      .with("cut_arriving", Counts.CutAtDeadline.Arriving)
+      .with("cut_unaccepted", Counts.CutAtDeadline.Unaccepted);
 }
 
 Task<void> GracefulStop::Impl::run(std::function<void()> OnEnded) {
@@ -89,10 +95,11 @@
   if (std::exchange(Inner->HasBegun, true))
     return;
   // The coroutine starts later, so it must own the implementation.
-  spawn(Inner->Io, [](std::shared_ptr<Impl> Self,
-                      std::function<void()> OnEnded) -> Task<void> {
-    co_await Self->run(std::move(OnEnded));
-  }(Inner, std::move(OnEnded)));
+  spawn(Inner->Io,
+        [](std::shared_ptr<Impl> Self,
+           std::function<void()> OnEnded) -> Task<void> {
+          co_await Self->run(std::move(OnEnded));
+        }(Inner, std::move(OnEnded)));
 }
 
 bool GracefulStop::hasBegun() const { return Inner->HasBegun; }
