End a planned stop only when nothing that has arrived is unanswered

What callers saw: in a planned stop in calm, requests sent up to 300 ms before the end of their connection got a reset in place of an answer, if the entry was not scheduled for 80 ms or more at a time, or if their body took some time.

Cause: the loop ended at the first moment at which no handler ran. A handler runs once the body has been read, so requests in a socket, partly read ones and connections in the listen queue were nobody's, and the exit reset them. Also, times were absolute: with a grace below 2.6 s nothing was ever refused.

The stop has stages now, decided by the pure function nextStage() of the time and of what the server and the kernel hold, looked at in the same step. Their times are fractions of the grace. In the last stage the server answers what has arrived and closes its connections in order.

--- a/packages/relay/src/GracefulStop.cpp
+++ b/packages/relay/src/GracefulStop.cpp
@@ -1,20 +1,16 @@
 #include "tamarack/relay/GracefulStop.h"
 
 #include "tamarack/net/Log.h"
+#include "tamarack/relay/StopPlan.h"
 
 #include <utility>
 
 namespace tamarack {
 namespace {
 
-/// The platform sends new connections until two readiness checks, one second
-/// apart, have failed.
-constexpr Duration ReadinessNoticeTime = std::chrono::milliseconds(2600);
 /// Idle timeout while draining; it may be short, since a caller sends its first
 /// request as soon as the connection is open.
 constexpr Duration DrainIdleTimeout = std::chrono::milliseconds(700);
-/// The part of the grace that is left for the exit itself.
-constexpr Duration ExitMargin = std::chrono::milliseconds(500);
 constexpr Duration CheckInterval = std::chrono::milliseconds(50);
 
 } // namespace
@@ -25,10 +21,11 @@
       : Io(Io), CallerServer(CallerServer), RequestRelay(RequestRelay),
         Ledgers(Ledgers), Grace(Grace) {}
 
+  void begin();
   Task<void> run(std::function<void()> OnEnded);
+  StopObservation observe() const;
   /// Logs the stage and what the process still has to do.
-  void logStage(std::string_view Event, std::string_view Stage,
-                Duration Elapsed) const;
+  void logStage(std::string_view Event, const StopObservation &Left) const;
 
   Loop &Io;
   HttpServer &CallerServer;
@@ -36,22 +33,27 @@
   const QuorumClient &Ledgers;
   const Duration Grace;
   bool HasBegun = false;
+  TimePoint BegunAt;
+  StopPlan Plan;
+  StopStage Stage = StopStage::Announced;
 };
 
+StopObservation GracefulStop::Impl::observe() const {
+  return {CallerServer.load(), Ledgers.pendingRecords()};
+}
+
 void GracefulStop::Impl::logStage(std::string_view Event,
-                                  std::string_view Stage,
-                                  Duration Elapsed) const {
-  const HttpServerLoad Load = CallerServer.load();
+                                  const StopObservation &Left) const {
   const HttpServerCounts Counts = CallerServer.counts();
   LogLine(Event)
-      .with("stage", Stage)
-      .with("took_ms", Elapsed)
-      .with("running", Load.Running)
-      .with("arriving", Load.Arriving)
-      .with("unaccepted", Load.Unaccepted)
-      .with("idle", Load.Idle)
+      .with("stage", nameOf(Stage))
+      .with("took_ms", steadyNow() - BegunAt)
+      .with("running", Left.Callers.Running)
+      .with("arriving", Left.Callers.Arriving)
+      .with("unaccepted", Left.Callers.Unaccepted)
+      .with("idle", Left.Callers.Idle)
       .with("connections", CallerServer.connections())
-      .with("unsettled", Ledgers.pendingRecords())
+      .with("unsettled", Left.UnsettledRecords)
       .with("closed_unread", Counts.ClosedUnread)
       .with("cut_while_reading", Counts.CutWhileReading)
       .with("cut_running", Counts.CutAtDeadline.Running)
@@ -59,27 +61,33 @@
       .with("cut_unaccepted", Counts.CutAtDeadline.Unaccepted);
 }
 
-Task<void> GracefulStop::Impl::run(std::function<void()> OnEnded) {
-  const TimePoint Started = steadyNow();
-  logStage("process.stopping", "announced", Duration(0));
+void GracefulStop::Impl::begin() {
+  BegunAt = steadyNow();
+  Plan = planStop(BegunAt, Grace);
+  logStage("process.stopping", observe());
   CallerServer.drain(DrainIdleTimeout);
-  const TimePoint Deadline = Started + Grace - ExitMargin;
-  bool Refuses = false;
-  while (steadyNow() < Deadline) {
-    const Duration Elapsed = steadyNow() - Started;
-    // When most entries of a data centre are down, the platform keeps sending
-    // requests to this one, which could not complete before the deadline.
-    if (Elapsed >= ReadinessNoticeTime && !std::exchange(Refuses, true)) {
+}
+
+Task<void> GracefulStop::Impl::run(std::function<void()> OnEnded) {
+  while (Stage != StopStage::Ended) {
+    const StopObservation Left = observe();
+    const TimePoint Now = steadyNow();
+    const StopStage Next = nextStage(Plan, Stage, Left, Now);
+    if (Next == Stage) {
+      co_await pause(Io, CheckInterval);
+      continue;
+    }
+    Stage = Next;
+    logStage(Stage == StopStage::Ended ? "process.stopped"
+                                       : "process.stop_stage",
+             Left);
+    if (Stage == StopStage::Refusing)
       RequestRelay.rejectNewRequests();
-      logStage("process.stop_stage", "refusing", Elapsed);
+    if (Stage == StopStage::Closing) {
+      Plan = withClosingTime(Plan, Now);
+      co_await CallerServer.closeAfterAnswers(Plan.ExitBy);
     }
-    const bool Idle =
-        CallerServer.running() == 0 && Ledgers.pendingRecords() == 0;
-    if (Idle && Refuses)
-      break;
-    co_await pause(Io, CheckInterval);
   }
-  logStage("process.stopped", "ended", steadyNow() - Started);
   OnEnded();
 }
 
@@ -94,6 +102,7 @@
 void GracefulStop::begin(std::function<void()> OnEnded) {
   if (std::exchange(Inner->HasBegun, true))
     return;
+  Inner->begin();
   // The coroutine starts later, so it must own the implementation.
   spawn(Inner->Io,
         [](std::shared_ptr<Impl> Self,
--- /dev/null
+++ b/packages/relay/test/GracefulStopTest.cpp
@@ -0,0 +1,173 @@
+/// Load pattern: an entry is stopped while callers still send, and is not
+/// scheduled for some hundred milliseconds at a time.
+#include "RelayFixture.h"
+
+#include "tamarack/relay/GracefulStop.h"
+
+#include <thread>
+
+using namespace tamarack;
+using namespace tamarack::testing;
+
+namespace {
+
+constexpr Duration LongGrace = 8s;
+/// When new requests are refused in a stop with that grace.
+constexpr Duration RefuseAfter = 2600ms;
+
+/// A caller that uses blocking calls and so does not need the loop to run.
+class RawCaller {
+public:
+  explicit RawCaller(Loop &Io) : Socket(Io) {
+    Socket.connect(*parseAddress("127.0.0.1:" + std::to_string(EntryPort)));
+    Socket.non_blocking(true);
+  }
+  void send(const std::string &Text) {
+    asio::write(Socket, asio::buffer(Text));
+  }
+  /// Reads what has arrived. Returns whether the connection has ended, and
+  /// closes it then.
+  bool hasEnded() {
+    if (!Socket.is_open())
+      return true;
+    char Buffer[4096];
+    while (!Failure) {
+      const std::size_t Count = Socket.read_some(asio::buffer(Buffer), Failure);
+      Received.append(Buffer, Count);
+    }
+    if (Failure == asio::error::would_block) {
+      Failure = {};
+      return false;
+    }
+    ErrorCode Ignored; // The socket is closed even on error.
+    Socket.close(Ignored);
+    return true;
+  }
+  /// The status of the response; 0 if none was received.
+  int status() const {
+    return Received.size() < 12 ? 0 : std::stoi(Received.substr(9, 3));
+  }
+
+  std::string Received;
+  ErrorCode Failure;
+
+private:
+  Tcp::socket Socket;
+};
+
+std::string rawRequest(const std::string &Id, std::size_t BodyBytes) {
+  return "POST /once/a HTTP/1.1\r\nHost: h\r\nId: " + Id +
+         "\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n" +
+         std::string(BodyBytes, 'b');
+}
+
+/// An entry that ends its connections when its stop has ended, as an exit does.
+struct StopFixture : RelayFixture {
+  void begin(Duration Grace) {
+    Stop =
+        std::make_unique<GracefulStop>(Io, Server, RequestRelay, Client, Grace);
+    BegunAt = steadyNow();
+    Stop->begin([this] {
+      ++Ends;
+      Took = steadyNow() - BegunAt;
+      Server.close();
+    });
+  }
+  void runUntil(Duration SinceBegin) {
+    Io.run_for(BegunAt + SinceBegin - steadyNow());
+  }
+  /// Does not run the loop, as a process that is not scheduled.
+  void standStillUntil(Duration SinceBegin) {
+    std::this_thread::sleep_until(BegunAt + SinceBegin);
+  }
+  void untilEnded() {
+    until([this] { return Ends > 0; });
+  }
+  void untilEnded(RawCaller &Caller) {
+    until([&] { return Caller.hasEnded(); });
+    untilEnded();
+  }
+
+  std::unique_ptr<GracefulStop> Stop;
+  TimePoint BegunAt;
+  Duration Took{0};
+  int Ends = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(APlannedStopOfAnEntry, StopFixture)
+
+BOOST_AUTO_TEST_SUITE(Answers)
+
+/// Guards against an exit while a request waits in its socket, which the kernel
+/// then resets.
+BOOST_AUTO_TEST_CASE(ARequestThatCameWhileTheProcessWasNotScheduled) {
+  begin(LongGrace);
+  runUntil(RefuseAfter - 200ms);
+  RawCaller Caller(Io);
+  runUntil(RefuseAfter - 100ms);
+  Caller.send(rawRequest("1", 10));
+  standStillUntil(RefuseAfter + 200ms);
+  untilEnded(Caller);
+  BOOST_TEST(Caller.status() == 503);
+  BOOST_TEST((Took < Duration(RefuseAfter + 1s)));
+}
+
+/// Guards against an exit while a connection with a request waits in the listen
+/// queue.
+BOOST_AUTO_TEST_CASE(AConnectionThatCameWhileTheProcessWasNotScheduled) {
+  begin(LongGrace);
+  runUntil(RefuseAfter - 100ms);
+  RawCaller Caller(Io);
+  Caller.send(rawRequest("1", 10));
+  standStillUntil(RefuseAfter + 200ms);
+  untilEnded(Caller);
+  BOOST_TEST(Caller.status() == 503);
+}
+
+/// Guards against an exit while the body of a request is still arriving.
+BOOST_AUTO_TEST_CASE(ARequestThatIsHalfRead) {
+  begin(LongGrace);
+  runUntil(RefuseAfter - 200ms);
+  const std::string Request = rawRequest("1", 100000);
+  RawCaller Caller(Io);
+  Caller.send(Request.substr(0, 50000));
+  runUntil(RefuseAfter + 500ms);
+  BOOST_TEST(Ends == 0);
+  if (Ends == 0)
+    Caller.send(Request.substr(50000));
+  untilEnded(Caller);
+  BOOST_TEST(Caller.status() == 503);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Ends)
+
+/// Guards against restarts that take service away for longer than the callers
+/// need to notice them.
+BOOST_AUTO_TEST_CASE(WhenNobodySendsAnyMore) {
+  begin(LongGrace);
+  runUntil(RefuseAfter - 200ms);
+  RawCaller Idle(Io);
+  untilEnded();
+  BOOST_TEST((Took >= Duration(RefuseAfter)));
+  BOOST_TEST((Took < Duration(RefuseAfter + 500ms)));
+}
+
+BOOST_AUTO_TEST_CASE(OnceIfItIsBegunAgain) {
+  begin(LongGrace);
+  runUntil(RefuseAfter - 1s);
+  int Others = 0;
+  Stop->begin([&] { ++Others; });
+  untilEnded();
+  BOOST_TEST((Took < Duration(RefuseAfter + 500ms)));
+  Io.run_for(100ms);
+  BOOST_TEST(Ends == 1);
+  BOOST_TEST(Others == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
