Answer the requests that still run at the end of a planned stop

What callers saw: requests that endpoints still ran at the end of the grace were cut without an answer, among them requests that may not be repeated.

Cause: the exit cut them; nothing ended them before it. Their deadlines are capped at 7/8 of the grace now (Relay::stopBy), so they end as at any deadline: with a 504 that promises nothing, and a stream that has begun is broken off. The endpoint is not blamed for it. The time is in the last sixth of the grace, so no answer ends sooner than the platform's rules allow.

New requests are refused by the clock and not by a step of the stop, so that none is passed on when the process wakes up after that time.

Before, AndAnswersRequestsThatEndpointsStillRun fails on all four routes: Result->Response->Head.Status == 504 has failed [0 != 504] and the stop took longer than its grace allows.

--- a/packages/relay/include/tamarack/relay/Relay.h
+++ b/packages/relay/include/tamarack/relay/Relay.h
@@ -79,9 +79,13 @@
   EndpointNews endpointNews() const;
   /// Sets the sum of what all other entries of the region report.
   void setRemoteNews(const EndpointNews &News);
-  /// From now on rejects requests as not run, because the process is shutting
-  /// down.
-  void rejectNewRequests();
+  /// Rejects requests that come at \p From or later as not run, because the
+  /// process is shutting down.
+  void rejectNewRequests(TimePoint From = TimePoint::min());
+  /// Caps the deadline of all running and later requests, because the process
+  /// is shutting down: those that still run at \p AnswerBy are answered then,
+  /// or their streams are aborted.
+  void stopBy(TimePoint AnswerBy);
   /// Whether the configuration and the endpoints are known and a quorum of
   /// ledgers can be reached, so that requests can be served.
   bool isReady() const;
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -176,7 +176,8 @@
 void Relay::Impl::recordSilence(const EndpointEntry &To, TimePoint SentAt,
                                 bool HasAnswered) {
   const TimePoint Now = steadyNow();
-  if (!HasAnswered && Now - SentAt >= SilentRequestTime)
+  // A stopping process cancels requests that the endpoint has time for.
+  if (!HasAnswered && Now - SentAt >= SilentRequestTime && Now < AnswerBy)
     Endpoints.onErrorResponse(To.Endpoint, Now);
 }
 
--- a/packages/relay/src/GracefulStop.cpp
+++ b/packages/relay/src/GracefulStop.cpp
@@ -66,6 +66,8 @@
   Plan = planStop(BegunAt, Grace);
   logStage("process.stopping", observe());
   CallerServer.drain(DrainIdleTimeout);
+  RequestRelay.rejectNewRequests(Plan.RefuseAt);
+  RequestRelay.stopBy(Plan.AnswerBy);
 }
 
 Task<void> GracefulStop::Impl::run(std::function<void()> OnEnded) {
@@ -81,8 +83,6 @@
     logStage(Stage == StopStage::Ended ? "process.stopped"
                                        : "process.stop_stage",
              Left);
-    if (Stage == StopStage::Refusing)
-      RequestRelay.rejectNewRequests();
     if (Stage == StopStage::Closing) {
       Plan = withClosingTime(Plan, Now);
       co_await CallerServer.closeAfterAnswers(Plan.ExitBy);
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -7,6 +7,7 @@
 using internal::AttemptOutcome;
 using internal::AttemptResult;
 using internal::formatMillis;
+using internal::leavingError;
 using internal::RateLimitReason;
 using internal::RequestContext;
 using internal::StoreConfirmTimeout;
@@ -88,7 +89,13 @@
 
 const Catalog &Relay::catalog() const { return Inner->ActiveCatalog; }
 
-void Relay::rejectNewRequests() { Inner->RejectsNewRequests = true; }
+void Relay::rejectNewRequests(TimePoint From) { Inner->RejectFrom = From; }
+
+void Relay::stopBy(TimePoint AnswerBy) {
+  Inner->AnswerBy = AnswerBy;
+  for (const auto &Context : Inner->Running)
+    Inner->startDeadline(Context);
+}
 
 bool Relay::isReady() const {
   return Inner->ActiveCatalog.Version > 0 && Inner->Endpoints.size() > 0 &&
@@ -101,9 +108,8 @@
 
 std::optional<Error> Relay::Impl::prepare(RequestContext &Context) {
   const HttpRequest &Request = Context.Caller.request();
-  if (RejectsNewRequests)
-    return Error{
-        ErrorKind::Leaving, "the process is shutting down", NotRun::Proved, {}};
+  if (steadyNow() >= RejectFrom)
+    return leavingError();
   if (ActiveCatalog.Version == 0)
     return Error{ErrorKind::PlatformUnavailable,
                  "no configuration is known yet",
@@ -184,7 +190,7 @@
 }
 
 Task<void> Relay::Impl::serve(HttpExchange &Caller) {
-  const auto Context = std::make_shared<RequestContext>(Caller);
+  const auto Context = std::make_shared<RequestContext>(Io, Caller);
   std::optional<Error> Failure = co_await prepareConfirmed(*Context);
   if (Failure) {
     co_await refuseRequest(*Context, std::move(*Failure));
@@ -200,24 +206,31 @@
     Context->CallerDisconnected = true;
     Context->abortCall();
   });
-  asio::steady_timer Timer(Io);
-  Timer.expires_at(Context->Deadline);
-  Timer.async_wait([Context](const ErrorCode &Cancelled) {
-    if (Cancelled)
-      return;
-    Context->Expired = true;
-    Context->abortCall();
-  });
+  Running.insert(Context);
+  startDeadline(Context);
   if (Context->MatchedRoute.Kind == RequestKind::Stream) {
     co_await serveTurn(*Context);
   } else {
     co_await servePlain(*Context);
   }
-  Timer.cancel();
+  Running.erase(Context);
+  Context->DeadlineTimer.cancel();
   Caller.onCallerDisconnect(nullptr);
   Context->CurrentCall.reset();
 }
 
+void Relay::Impl::startDeadline(
+    const std::shared_ptr<RequestContext> &Context) {
+  Context->Deadline = std::min(Context->Deadline, AnswerBy);
+  Context->DeadlineTimer.expires_at(Context->Deadline);
+  Context->DeadlineTimer.async_wait([Context](const ErrorCode &Cancelled) {
+    if (Cancelled)
+      return;
+    Context->Expired = true;
+    Context->abortCall();
+  });
+}
+
 Task<void> Relay::Impl::refuseRequest(RequestContext &Context, Error Failure) {
   const ErrorAnswer &Mapping = answerOf(Failure.Kind);
   LogLine("entry.refused")
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -24,6 +24,12 @@
 /// within 50 ms, or 300 ms while it is slow.
 inline constexpr Duration StoreConfirmTimeout = std::chrono::milliseconds(400);
 
+/// The error of a request that is not run because the process is shutting down.
+inline Error leavingError() {
+  return {
+      ErrorKind::Leaving, "the process is shutting down", NotRun::Proved, {}};
+}
+
 inline std::string formatMillis(std::optional<Duration> Span) {
   return Span ? std::to_string(*Span / std::chrono::milliseconds(1)) : "none";
 }
@@ -34,14 +40,17 @@
 
 /// The state of a request from its last byte to the end of its answer.
 struct RequestContext {
-  explicit RequestContext(HttpExchange &Caller) : Caller(Caller) {}
+  RequestContext(Loop &Io, HttpExchange &Caller)
+      : Caller(Caller), DeadlineTimer(Io) {}
 
   HttpExchange &Caller;
   RequestMetadata Metadata;
   Route MatchedRoute;
   ServiceId Service;
-  /// The earlier of the caller's deadline and the route's timeout.
+  /// The earliest of the caller's deadline, the route's timeout and the time at
+  /// which a stopping process answers.
   TimePoint Deadline;
+  asio::steady_timer DeadlineTimer;
   std::string Body;
   /// Of the request as the caller sent it.
   RequestDigest Digest;
@@ -167,7 +176,11 @@
     bool IsCalled = false;
   };
   std::map<std::string, CrashPeer> CrashPeers;
-  bool RejectsNewRequests = false;
+  TimePoint RejectFrom = TimePoint::max();
+  /// As passed to stopBy().
+  TimePoint AnswerBy = TimePoint::max();
+  /// The requests whose deadline timers run.
+  std::set<std::shared_ptr<internal::RequestContext>> Running;
 
   // Relay.cpp: routes, deadlines and refusals.
   Task<void> serve(HttpExchange &Caller);
@@ -178,6 +191,8 @@
   /// the configuration is confirmed to be current.
   Task<std::optional<Error>>
   prepareConfirmed(internal::RequestContext &Context);
+  /// Cancels the request at its deadline, which is capped if the process stops.
+  void startDeadline(const std::shared_ptr<internal::RequestContext> &Context);
   /// The time since the configuration was confirmed; empty if it never was.
   std::optional<Duration> catalogAge() const;
   /// Lists the endpoints anew, unless that was done a moment ago.
--- a/packages/relay/test/GracefulStopTest.cpp
+++ b/packages/relay/test/GracefulStopTest.cpp
@@ -15,6 +15,12 @@
 /// When new requests are refused in a stop with that grace.
 constexpr Duration RefuseAfter = 2600ms;
 
+/// A short grace, and when requests are refused, sent no more and answered in a
+/// stop with it.
+constexpr Duration ShortGrace = 1600ms;
+constexpr Duration ShortRefuseAfter = ShortGrace / 3;
+constexpr Duration ShortAnswerAfter = 1400ms;
+
 /// A caller that uses blocking calls and so does not need the loop to run.
 class RawCaller {
 public:
@@ -61,6 +67,14 @@
          std::string(BodyBytes, 'b');
 }
 
+/// What a caller received.
+struct CallerResult {
+  /// Set once the exchange has ended. The status is 0 if the response is
+  /// incomplete.
+  std::optional<HttpResponse> Response;
+  TimePoint EndedAt;
+};
+
 /// An entry that ends its connections when its stop has ended, as an exit does.
 struct StopFixture : RelayFixture {
   void begin(Duration Grace) {
@@ -80,6 +94,24 @@
   void standStillUntil(Duration SinceBegin) {
     std::this_thread::sleep_until(BegunAt + SinceBegin);
   }
+  /// Sends a request as a caller that goes on while the test does.
+  void startRequest(const std::string &Target, std::vector<HttpField> Fields) {
+    HttpRequest Request{"POST", Target, {}, "body"};
+    Request.Fields.All = std::move(Fields);
+    Results.push_back(std::make_shared<CallerResult>());
+    asio::co_spawn(Io, fetchFromHost("h", std::move(Request)),
+                   [Result = Results.back()](const std::exception_ptr &,
+                                             Expected<HttpResponse> Response) {
+                     Result->Response =
+                         Response ? std::move(*Response) : HttpResponse{};
+                     Result->EndedAt = steadyNow();
+                   });
+  }
+  void untilAnswered() {
+    for (const auto &Result : Results)
+      until([&] { return Result->Response.has_value(); });
+  }
+
   void untilEnded() {
     until([this] { return Ends > 0; });
   }
@@ -89,6 +121,7 @@
   }
 
   std::unique_ptr<GracefulStop> Stop;
+  std::vector<std::shared_ptr<CallerResult>> Results;
   TimePoint BegunAt;
   Duration Took{0};
   int Ends = 0;
@@ -170,4 +203,49 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against requests that still run at the end of the grace and are cut
+/// without an answer.
+BOOST_AUTO_TEST_SUITE(EndsWithTheGrace)
+
+/// The requests may have run, so nothing is promised.
+BOOST_AUTO_TEST_CASE(AndAnswersRequestsThatEndpointsStillRun) {
+  setResponses({{completeStream(1), false, 3s}});
+  begin(ShortGrace);
+  for (const char *Target : {"/once/a", "/safe/a", "/turn/a", "/kept/a"})
+    startRequest(Target, {{"Id", Target}, {"Program", "p"}});
+  untilEnded();
+  untilAnswered();
+  for (const auto &Result : Results) {
+    BOOST_TEST(Result->Response->Head.Status == 504);
+    BOOST_TEST((Result->EndedAt >= BegunAt + ShortAnswerAfter));
+  }
+  BOOST_TEST(requestCount() == Results.size());
+  BOOST_TEST((Took < ShortGrace));
+}
+
+BOOST_AUTO_TEST_CASE(AndBreaksOffStreamsThatHaveBegun) {
+  setResponses({{signedStreamHead() + eventChunk(1)}});
+  begin(ShortGrace);
+  RawCaller Caller(Io);
+  Caller.send("GET /turn/a HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n");
+  untilEnded(Caller);
+  BOOST_TEST((Took >= ShortAnswerAfter));
+  BOOST_TEST(Caller.status() == 200);
+  BOOST_TEST(Caller.Received.find("data: d1") != std::string::npos);
+  BOOST_TEST(Caller.Received.find(std::string(LastChunk)) == std::string::npos);
+}
+
+/// Guards against endpoints that other entries avoid, since this one stopped.
+BOOST_AUTO_TEST_CASE(AndBlamesNoEndpointForIt) {
+  setResponses({{signedResponse("late"), false, 3s}});
+  begin(ShortGrace);
+  startRequest("/once/a", {{"Id", "1"}});
+  untilEnded();
+  untilAnswered();
+  for (const auto &[Endpoint, Counts] : RequestRelay.endpointNews().Outcomes)
+    BOOST_TEST(Counts.Failures == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
