Send no request to an endpoint late in a planned stop

What callers saw: requests that came late in the grace were taken and passed on, and cut at its end. A wait for ledgers, for the list of endpoints or for a connection, or a second try, passed a request on at any time after the entry had begun to refuse new ones.

From the middle between that time and the time at which running requests are answered, no request is sent any more: not run, or 502 if an endpoint may have run it. The waits end at that time, and endpoints are told no longer deadline than the stop leaves.

--- a/packages/relay/include/tamarack/relay/Relay.h
+++ b/packages/relay/include/tamarack/relay/Relay.h
@@ -82,10 +82,10 @@
   /// Rejects requests that come at \p From or later as not run, because the
   /// process is shutting down.
   void rejectNewRequests(TimePoint From = TimePoint::min());
-  /// Caps the deadline of all running and later requests, because the process
-  /// is shutting down: those that still run at \p AnswerBy are answered then,
-  /// or their streams are aborted.
-  void stopBy(TimePoint AnswerBy);
+  /// Limits all running and later requests, because the process is shutting
+  /// down: none is sent to an endpoint from \p SendBy on, and those that still
+  /// run at \p AnswerBy are answered then, or their streams are aborted.
+  void stopBy(TimePoint SendBy, TimePoint AnswerBy);
   /// Whether the configuration and the endpoints are known and a quorum of
   /// ledgers can be reached, so that requests can be served.
   bool isReady() const;
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -43,7 +43,8 @@
 
 std::optional<EndpointEntry>
 Relay::Impl::chooseNextEndpoint(RequestContext &Context) {
-  if (Context.TriedEndpoints.size() >= MaxEndpointsPerRequest)
+  if (Context.TriedEndpoints.size() >= MaxEndpointsPerRequest ||
+      isSendingOver())
     return std::nullopt;
   const EndpointQuery Query = endpointQuery(Context);
   std::optional<EndpointEntry> Chosen = Endpoints.choose(Query, steadyNow());
@@ -90,7 +91,7 @@
         .with("reason", Call.error().Message);
     co_return nullptr;
   }
-  if (Context.isCancelled())
+  if (Context.isCancelled() || isSendingOver())
     co_return nullptr;
   if (isDecisionOutdated(Context)) {
     LogLine("entry.decision_outdated")
--- a/packages/relay/src/GracefulStop.cpp
+++ b/packages/relay/src/GracefulStop.cpp
@@ -67,7 +67,7 @@
   logStage("process.stopping", observe());
   CallerServer.drain(DrainIdleTimeout);
   RequestRelay.rejectNewRequests(Plan.RefuseAt);
-  RequestRelay.stopBy(Plan.AnswerBy);
+  RequestRelay.stopBy(Plan.SendBy, Plan.AnswerBy);
 }
 
 Task<void> GracefulStop::Impl::run(std::function<void()> OnEnded) {
--- a/packages/relay/src/Origins.cpp
+++ b/packages/relay/src/Origins.cpp
@@ -76,8 +76,7 @@
   setOrigin(Context, To);
   TurnUpdate Update{openRecord(Context), {}};
   const Expected<QuorumProgramState> Stored = co_await Ledgers.storeRecord(
-      std::move(Update),
-      std::min(Context.Deadline, steadyNow() + LedgerTimeout),
+      std::move(Update), waitLimit(Context.Deadline, LedgerTimeout),
       StoreEffort::UntilCutOff);
   LogLine("entry.origin")
       .with("request", Context.Metadata.RequestId)
@@ -123,8 +122,7 @@
 Relay::Impl::requireVersion(RequestContext &Context,
                             QuorumProgramState Program) {
   if (isListOutdated(Program.EndpointListAge)) {
-    const TimePoint Deadline =
-        std::min(Context.Deadline, steadyNow() + StoreConfirmTimeout);
+    const TimePoint Deadline = waitLimit(Context.Deadline, StoreConfirmTimeout);
     co_await Configuration.Confirm(Deadline);
   }
   if (isListOutdated(Program.EndpointListAge)) {
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -91,7 +91,8 @@
 
 void Relay::rejectNewRequests(TimePoint From) { Inner->RejectFrom = From; }
 
-void Relay::stopBy(TimePoint AnswerBy) {
+void Relay::stopBy(TimePoint SendBy, TimePoint AnswerBy) {
+  Inner->SendBy = SendBy;
   Inner->AnswerBy = AnswerBy;
   for (const auto &Context : Inner->Running)
     Inner->startDeadline(Context);
@@ -157,7 +158,7 @@
   std::optional<Error> Failure = prepare(Context);
   if (!LacksCurrentRoute(Failure))
     co_return Failure;
-  const TimePoint Deadline = steadyNow() + StoreConfirmTimeout;
+  const TimePoint Deadline = waitLimit(TimePoint::max(), StoreConfirmTimeout);
   co_await Configuration.Confirm(Deadline);
   Failure = prepare(Context);
   if (LacksCurrentRoute(Failure))
@@ -199,7 +200,7 @@
   Context->Body = std::move(Caller.request().Body);
   if (!Endpoints.isListed(Context->Service)) {
     const TimePoint Deadline =
-        std::min(Context->Deadline, steadyNow() + StoreConfirmTimeout);
+        waitLimit(Context->Deadline, StoreConfirmTimeout);
     co_await listEndpoints(Deadline);
   }
   Caller.onCallerDisconnect([Context] {
@@ -304,6 +305,8 @@
       break;
   }
   Error Failure{ErrorKind::Overloaded, FailureReason, NotRun::Proved, {}};
+  if (isSendingOver())
+    Failure = leavingError();
   if (Context.PossibleRuns > 0)
     Failure = {Context.Expired ? ErrorKind::Timeout : ErrorKind::EndpointFailed,
                FailureReason,
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -8,6 +8,7 @@
 #include "tamarack/relay/Relay.h"
 #include "tamarack/relay/Resumption.h"
 
+#include <algorithm>
 #include <optional>
 #include <set>
 
@@ -178,6 +179,7 @@
   std::map<std::string, CrashPeer> CrashPeers;
   TimePoint RejectFrom = TimePoint::max();
   /// As passed to stopBy().
+  TimePoint SendBy = TimePoint::max();
   TimePoint AnswerBy = TimePoint::max();
   /// The requests whose deadline timers run.
   std::set<std::shared_ptr<internal::RequestContext>> Running;
@@ -193,6 +195,13 @@
   prepareConfirmed(internal::RequestContext &Context);
   /// Cancels the request at its deadline, which is capped if the process stops.
   void startDeadline(const std::shared_ptr<internal::RequestContext> &Context);
+  /// Whether requests are sent to endpoints no more, because the process stops.
+  bool isSendingOver() const { return steadyNow() >= SendBy; }
+  /// The time until which a request that was not sent yet may wait for
+  /// something, \p Limit at most.
+  TimePoint waitLimit(TimePoint Deadline, Duration Limit) const {
+    return std::min({Deadline, steadyNow() + Limit, SendBy});
+  }
   /// The time since the configuration was confirmed; empty if it never was.
   std::optional<Duration> catalogAge() const;
   /// Lists the endpoints anew, unless that was done a moment ago.
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -48,8 +48,7 @@
   if (Resumes)
     Reservation.ResumedTurn = resumedTurn(Context.Metadata);
   const Expected<QuorumProgramState> Program = co_await Ledgers.storeRecord(
-      std::move(Reservation),
-      std::min(Context.Deadline, SentAt + LedgerTimeout),
+      std::move(Reservation), waitLimit(Context.Deadline, LedgerTimeout),
       StoreEffort::UntilCutOff);
   Metrics.observeLedgerLatency(steadyNow() - SentAt);
   if (!Program) {
@@ -89,8 +88,7 @@
   const bool Cached = !Chain.empty();
   if (!Cached) {
     Expected<TurnChain> Stored = co_await Ledgers.chain(
-        Context.Metadata.Previous,
-        std::min(Context.Deadline, steadyNow() + LedgerTimeout));
+        Context.Metadata.Previous, waitLimit(Context.Deadline, LedgerTimeout));
     if (!Stored)
       co_return notRunError(Stored.error().Kind, Stored.error().Message);
     Chain = std::move(*Stored);
@@ -178,6 +176,9 @@
     Context.Caller.abort();
     co_return;
   }
+  if (Context.PossibleRuns == 0 && isSendingOver() &&
+      (!Failure || Failure->Kind == ErrorKind::NotEnoughCopies))
+    Failure = internal::leavingError();
   if (!Failure && Context.PossibleRuns == 0)
     Failure = notRunError(Context.Expired ? ErrorKind::DeadlineUnreachable
                                           : ErrorKind::Overloaded,
--- a/packages/relay/test/GracefulStopTest.cpp
+++ b/packages/relay/test/GracefulStopTest.cpp
@@ -20,6 +20,7 @@
 constexpr Duration ShortGrace = 1600ms;
 constexpr Duration ShortRefuseAfter = ShortGrace / 3;
 constexpr Duration ShortAnswerAfter = 1400ms;
+constexpr Duration ShortSendFor = (ShortRefuseAfter + ShortAnswerAfter) / 2;
 
 /// A caller that uses blocking calls and so does not need the loop to run.
 class RawCaller {
@@ -248,4 +249,61 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against requests that are passed on so late in a stop that they
+/// cannot end before the exit.
+BOOST_AUTO_TEST_SUITE(SendsNoRequestLate)
+
+BOOST_AUTO_TEST_CASE(AfterAnEndpointRefusedIt) {
+  ScriptedResponse Refusal = notRunResponse();
+  Refusal.Delay = ShortSendFor + 200ms;
+  setResponses({Refusal, Refusal, {signedResponse("late")}});
+  begin(ShortGrace);
+  startRequest("/once/a", {{"Id", "1"}});
+  startRequest("/turn/a", {{"Id", "2"}});
+  untilAnswered();
+  for (const auto &Result : Results)
+    BOOST_TEST(Result->Response->Head.Status == 503);
+  BOOST_TEST(requestCount() == Results.size());
+}
+
+/// One endpoint may have run it, so nothing is promised.
+BOOST_AUTO_TEST_CASE(AfterAnEndpointBrokeOff) {
+  setResponses({{"", true, ShortSendFor + 200ms}, {signedResponse("late")}});
+  begin(ShortGrace);
+  startRequest("/safe/a", {{"Id", "1"}});
+  untilAnswered();
+  BOOST_TEST(Results[0]->Response->Head.Status == 502);
+  BOOST_TEST(requestCount() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AfterAWaitForLedgers) {
+  silence(1);
+  silence(2);
+  begin(ShortGrace);
+  runUntil(ShortRefuseAfter - 50ms);
+  startRequest(
+      "/turn/a",
+      {{"Id", "1"}, {"Program", "p"}, {"Budget", "1000"}, {"Most", "100"}});
+  untilAnswered();
+  BOOST_TEST(Results[0]->Response->Head.Status == 503);
+  BOOST_TEST((Results[0]->EndedAt < BegunAt + ShortSendFor + 100ms));
+  BOOST_TEST(requestCount() == 0U);
+}
+
+/// An endpoint stops work at that time, and its slot becomes free.
+BOOST_AUTO_TEST_CASE(WithALongerDeadlineThanTheStopLeaves) {
+  setResponses({{signedResponse("hello")}});
+  begin(ShortGrace);
+  startRequest("/once/a", {{"Id", "1"}});
+  untilAnswered();
+  BOOST_TEST(Results[0]->Response->Head.Status == 200);
+  const std::string &Request = lastRequest();
+  const std::size_t Field = Request.find("Left-Ms: ");
+  BOOST_REQUIRE(Field != std::string::npos);
+  BOOST_TEST(std::stoi(Request.substr(Field + 9)) <=
+             ShortAnswerAfter / Duration(1ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
