--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -43,7 +43,8 @@
 
 std::optional<EndpointEntry>
 Relay::Impl::chooseNextEndpoint(RequestContext &Context) {
-  if (Context.TriedEndpoints.size() >= MaxEndpointsPerRequest)
+  if (Context.TriedEndpoints.size() >= MaxEndpointsPerRequest ||
+      isSendingOver())
     return std::nullopt;
   const EndpointQuery Query = endpointQuery(Context);
   std::optional<EndpointEntry> Chosen = Endpoints.choose(Query, steadyNow());
@@ -90,7 +91,7 @@
         .with("reason", Call.error().Message);
     co_return nullptr;
   }
-  if (Context.isCancelled())
+  if (Context.isCancelled() || isSendingOver())
     co_return nullptr;
   if (isDecisionOutdated(Context)) {
     LogLine("entry.decision_outdated")
@@ -176,7 +177,8 @@
 void Relay::Impl::recordSilence(const EndpointEntry &To, TimePoint SentAt,
                                 bool HasAnswered) {
   const TimePoint Now = steadyNow();
-  if (!HasAnswered && Now - SentAt >= SilentRequestTime)
+  // A stopping process cancels requests that the endpoint has time for.
+  if (!HasAnswered && Now - SentAt >= SilentRequestTime && Now < AnswerBy)
     Endpoints.onErrorResponse(To.Endpoint, Now);
 }
 
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -7,6 +7,7 @@
 using internal::AttemptOutcome;
 using internal::AttemptResult;
 using internal::formatMillis;
+using internal::leavingError;
 using internal::RateLimitReason;
 using internal::RequestContext;
 using internal::StoreConfirmTimeout;
@@ -88,7 +89,14 @@
 
 const Catalog &Relay::catalog() const { return Inner->ActiveCatalog; }
 
-void Relay::rejectNewRequests() { Inner->RejectsNewRequests = true; }
+void Relay::rejectNewRequests(TimePoint From) { Inner->RejectFrom = From; }
+
+void Relay::stopBy(TimePoint SendBy, TimePoint AnswerBy) {
+  Inner->SendBy = SendBy;
+  Inner->AnswerBy = AnswerBy;
+  for (const auto &Context : Inner->Running)
+    Inner->startDeadline(Context);
+}
 
 bool Relay::isReady() const {
   return Inner->ActiveCatalog.Version > 0 && Inner->Endpoints.size() > 0 &&
@@ -101,9 +109,8 @@
 
 std::optional<Error> Relay::Impl::prepare(RequestContext &Context) {
   const HttpRequest &Request = Context.Caller.request();
-  if (RejectsNewRequests)
-    return Error{
-        ErrorKind::Leaving, "the process is shutting down", NotRun::Proved, {}};
+  if (steadyNow() >= RejectFrom)
+    return leavingError();
   if (ActiveCatalog.Version == 0)
     return Error{ErrorKind::PlatformUnavailable,
                  "no configuration is known yet",
@@ -151,7 +158,7 @@
   std::optional<Error> Failure = prepare(Context);
   if (!LacksCurrentRoute(Failure))
     co_return Failure;
-  const TimePoint Deadline = steadyNow() + StoreConfirmTimeout;
+  const TimePoint Deadline = waitLimit(TimePoint::max(), StoreConfirmTimeout);
   co_await Configuration.Confirm(Deadline);
   Failure = prepare(Context);
   if (LacksCurrentRoute(Failure))
@@ -184,7 +191,7 @@
 }
 
 Task<void> Relay::Impl::serve(HttpExchange &Caller) {
-  const auto Context = std::make_shared<RequestContext>(Caller);
+  const auto Context = std::make_shared<RequestContext>(Io, Caller);
   std::optional<Error> Failure = co_await prepareConfirmed(*Context);
   if (Failure) {
     co_await refuseRequest(*Context, std::move(*Failure));
@@ -193,31 +200,38 @@
   Context->Body = std::move(Caller.request().Body);
   if (!Endpoints.isListed(Context->Service)) {
     const TimePoint Deadline =
-        std::min(Context->Deadline, steadyNow() + StoreConfirmTimeout);
+        waitLimit(Context->Deadline, StoreConfirmTimeout);
     co_await listEndpoints(Deadline);
   }
   Caller.onCallerDisconnect([Context] {
     Context->CallerDisconnected = true;
     Context->abortCall();
   });
-  asio::steady_timer Timer(Io);
-  Timer.expires_at(Context->Deadline);
-  Timer.async_wait([Context](const ErrorCode &Cancelled) {
-    if (Cancelled)
-      return;
-    Context->Expired = true;
-    Context->abortCall();
-  });
+  Running.insert(Context);
+  startDeadline(Context);
   if (Context->MatchedRoute.Kind == RequestKind::Stream) {
     co_await serveTurn(*Context);
   } else {
     co_await servePlain(*Context);
   }
-  Timer.cancel();
+  Running.erase(Context);
+  Context->DeadlineTimer.cancel();
   Caller.onCallerDisconnect(nullptr);
   Context->CurrentCall.reset();
 }
 
+void Relay::Impl::startDeadline(
+    const std::shared_ptr<RequestContext> &Context) {
+  Context->Deadline = std::min(Context->Deadline, AnswerBy);
+  Context->DeadlineTimer.expires_at(Context->Deadline);
+  Context->DeadlineTimer.async_wait([Context](const ErrorCode &Cancelled) {
+    if (Cancelled)
+      return;
+    Context->Expired = true;
+    Context->abortCall();
+  });
+}
+
 Task<void> Relay::Impl::refuseRequest(RequestContext &Context, Error Failure) {
   const ErrorAnswer &Mapping = answerOf(Failure.Kind);
   LogLine("entry.refused")
@@ -291,6 +305,8 @@
       break;
   }
   Error Failure{ErrorKind::Overloaded, FailureReason, NotRun::Proved, {}};
+  if (isSendingOver())
+    Failure = leavingError();
   if (Context.PossibleRuns > 0)
     Failure = {Context.Expired ? ErrorKind::Timeout : ErrorKind::EndpointFailed,
                FailureReason,
