Answer pipelined requests before a connection is closed

What callers saw: requests that had arrived behind another one on the same connection got no answer when the entry stopped, or refused the first as not run: the response to the first closed the connection, and what had arrived behind it was discarded.

A response closes its connection now only if nothing more has arrived on it, so the last of several does. Failed before: AnHttpServerThatStops/Answers/RequestsThatWerePipelined, "countResponses(Received) == 3U has failed [1 != 3]", while draining and with closeAfterResponse(). TheWholeLastResponse asked for the end by closeAfterResponse(); it asks by the caller's "Connection: close" now and checks the same.

--- a/packages/net/include/tamarack/net/HttpServer.h
+++ b/packages/net/include/tamarack/net/HttpServer.h
@@ -90,7 +90,8 @@
   TimePoint requestReadAt() const;
 
   /// Makes the response close its connection, so that the caller opens a new
-  /// one, which may lead to another instance.
+  /// one, which may lead to another instance. If further requests have arrived
+  /// on the connection, the response to the last of them closes it.
   void closeAfterResponse();
   /// Sends a complete response and adds its framing fields. Returns false if
   /// the caller has disconnected.
@@ -132,8 +133,8 @@
   Expected<void> listen(const std::string &Address);
   /// The idle timeout of drain() outlasts later limits.
   void setLimits(const HttpServerLimits &Limits);
-  /// From now on each response closes its connection, and idle connections are
-  /// closed after \p IdleTimeout.
+  /// From now on each response closes its connection, unless a further request
+  /// has arrived on it, and idle connections are closed after \p IdleTimeout.
   void drain(Duration IdleTimeout);
   /// Number of requests whose handlers are running.
   std::size_t running() const;
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -261,8 +261,15 @@
   co_return !Failure;
 }
 
+/// Requests that have arrived behind the current one would be lost if its
+/// response closed the connection.
+bool HttpSession::isLastResponse() {
+  return (Server->Draining || CloseRequested) && Buffer.size() == 0 &&
+         unreadBytes() == 0;
+}
+
 Task<bool> HttpSession::answer(HttpResponse Response) {
-  KeepAlive = KeepAlive && !Server->Draining;
+  KeepAlive = KeepAlive && !isLastResponse();
   if (mayHaveBody(Request.Method, Response.Head.Status))
     Response.Head.Fields.add("Content-Length",
                              std::to_string(Response.Body.size()));
@@ -277,7 +284,7 @@
 }
 
 void HttpSession::begin(HttpHead Head) {
-  KeepAlive = KeepAlive && !Server->Draining;
+  KeepAlive = KeepAlive && !isLastResponse();
   Head.Fields.add("Transfer-Encoding", "chunked");
   if (!KeepAlive)
     Head.Fields.add("Connection", "close");
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -91,7 +91,7 @@
   /// Counts the connection in \p Load.
   void addTo(HttpServerLoad &Load);
 
-  void closeAfterResponse() { KeepAlive = false; }
+  void closeAfterResponse() { CloseRequested = true; }
   Task<bool> answer(HttpResponse Response);
   void begin(HttpHead Head);
   Task<bool> sendChunk(std::string_view Data);
@@ -120,6 +120,8 @@
   /// Number of received bytes that wait in the kernel.
   std::size_t unreadBytes();
   TimePoint idleDeadline(TimePoint Now) const;
+  /// Whether the response that begins now is to close the connection.
+  bool isLastResponse();
   Task<bool> write(std::string Text);
 
   std::shared_ptr<HttpServer::Impl> Server;
@@ -131,6 +133,7 @@
   bool Writing = false;
   bool HasCarriedRequest = false;
   bool KeepAlive = true;
+  bool CloseRequested = false;
   bool ResponseSent = false;
   bool Aborted = false;
   bool Watching = false;
