Do not wait seconds for callers that keep a closed connection open

A stop of an entry took up to 5 s longer, or until 15/16 of the grace, if a caller had read its last answer and did not close its connection: the server waited for the end of each lingering connection. While the server closes it waits 1 s. Failed before: AnHttpServerThatStops/DoesNotWaitFor/ACallerThatDoesNotCloseItsConnection, "steadyNow() - StartedAt < LingerTimeout / 2 has failed".

--- a/packages/net/include/tamarack/net/HttpServer.h
+++ b/packages/net/include/tamarack/net/HttpServer.h
@@ -36,6 +36,9 @@
   Duration ResponseWriteTimeout = std::chrono::seconds(5);
   /// Maximum time for which a connection lingers.
   Duration LingerTimeout = std::chrono::seconds(5);
+  /// The same while the server closes, so that callers which do not close their
+  /// connections do not hold it up.
+  Duration ClosingLingerTimeout = std::chrono::seconds(1);
   /// Maximum number of lingering connections. Beyond it the oldest is closed.
   std::size_t MaxLingeringConnections = 1024;
   /// How long closeAfterAnswers() waits for the first request of a connection.
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -77,6 +77,8 @@
 }
 
 void HttpSession::closeIfIdle(TimePoint Now) {
+  if (Phase == SessionPhase::Lingering)
+    Deadline = std::min(Deadline, Now + Server->Limits.ClosingLingerTimeout);
   closeIdleAt(idleDeadline(Now));
   if (Phase == SessionPhase::Idle)
     sweep(Now, Duration(0));
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -86,7 +86,7 @@
       Deadline = std::min(Deadline, Time);
   }
   /// Closes the connection if the server, which is closing, need not wait for
-  /// a request.
+  /// a request, and limits the time for which it lingers.
   void closeIfIdle(TimePoint Now);
   /// Counts the connection in \p Load.
   void addTo(HttpServerLoad &Load);
--- a/packages/net/test/HttpServerStopTest.cpp
+++ b/packages/net/test/HttpServerStopTest.cpp
@@ -177,6 +177,20 @@
   BOOST_TEST((Server.counts() == HttpServerCounts{}));
 }
 
+/// Guards against a stop that is held up by callers which do not close.
+BOOST_FIXTURE_TEST_CASE(ACallerThatDoesNotCloseItsConnection,
+                        HttpServerFixture) {
+  Closes = true;
+  RawClient Client(ServerPort);
+  Client.sendAll(GetRequest);
+  BOOST_REQUIRE(runUntil([&] { return isAnswered(Client, 1); }));
+  const TimePoint StartedAt = steadyNow();
+  startClosing(PatienceLimit);
+  BOOST_TEST(runUntil([&] { return IsClosed; }));
+  BOOST_TEST((steadyNow() - StartedAt < HttpServerLimits{}.LingerTimeout / 2));
+  BOOST_TEST(countResponses(Client.receive()) == 1U);
+}
+
 /// Guards against a stop that takes until its deadline for connections that
 /// carry nothing.
 BOOST_FIXTURE_TEST_CASE(ANewConnectionThatSendsNothing, HttpServerFixture) {
