Let one ledger stop after the other also if a moment lies between them

Two of three ledgers that got SIGTERM some milliseconds after each other went at the same time, and turns could not be stored until one of them was back.

The first asked the others, and the second was told of its own stop between its answer and the decision of the first. The second relied on the first then, as that one had the larger folder and would wait, while the first relied on an answer that no longer held.

A ledger that stops now names itself when it asks. One that is asked does not count it in its own inquiry, and does not answer once it may exit.

--- a/packages/quorum/src/LedgerCalls.cpp
+++ b/packages/quorum/src/LedgerCalls.cpp
@@ -51,7 +51,7 @@
         Log->folderId(), CurrentView.Number,
         Store.lifetimes(Body.get<RecordNames>(), steadyNow())}));
   } else if (Name == calls::Ping) {
-    Answer(Json(PingResponse{Log->folderId(), CurrentView.Number, Stopping}));
+    handlePing(Body, Answer);
   } else if (Name == calls::Crashes) {
     const auto Request = Body.get<CrashRequest>();
     Crashes.merge(Request.Observed, steadyNow());
--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -395,12 +395,33 @@
   Self->Stopping = true;
   while (true) {
     const bool Done = co_await Self->isDispensable();
-    if (Done || steadyNow() >= Deadline)
+    if (Done || steadyNow() >= Deadline) {
+      Self->StopPrepared = true;
       co_return Done;
+    }
     co_await pause(Self->Io, StopPollInterval);
   }
 }
 
+/// A ledger that is about to stop relies on the answer. So this one must not
+/// rely on that ledger too, nor answer if it may exit.
+void LedgerNode::Impl::handlePing(const Json &Body,
+                                  const LinkServer::Reply &Answer) {
+  if (!Body.is_null() && StopPrepared) {
+    Answer(refuse(ErrorKind::Leaving, "the ledger stops"));
+    return;
+  }
+  if (!Body.is_null() && Inquiry && Body.get<FolderId>() < Log->folderId())
+    Inquiry->StopFirst.insert(Body.get<FolderId>());
+  Answer(Json(PingResponse{Log->folderId(), CurrentView.Number, Stopping}));
+}
+
+std::size_t LedgerNode::Impl::StopInquiry::othersLeft() const {
+  return std::count_if(
+      Serving.begin(), Serving.end(),
+      [this](const FolderId &Folder) { return StopFirst.count(Folder) == 0; });
+}
+
 Task<bool> LedgerNode::Impl::isDispensable() {
   const FolderId Own = Log->folderId();
   const View Of = CurrentView;
@@ -409,12 +430,8 @@
   const bool CanBeReplaced = Of.Members.size() > Needed;
   if (Member == nullptr || !Member->Joined || !CanBeReplaced)
     co_return true;
-  struct PingState {
-    std::size_t Asked = 0;
-    std::size_t Answered = 0;
-    std::size_t Serving = 0;
-  };
-  const auto State = std::make_shared<PingState>();
+  const auto State = std::make_shared<StopInquiry>();
+  Inquiry = State;
   const TimePoint Until = steadyNow() + StopPingTimeout;
   for (const ViewMember &Other : Of.Members) {
     if (!Other.Joined || Other.Folder == Own)
@@ -422,19 +439,19 @@
     ++State->Asked;
     linkTo(Other.Address)
         ->call(
-            calls::Ping, encodeBody(nullptr), Until,
+            calls::Ping, encodeBody(Own), Until,
             [State, Own, Folder = Other.Folder](const Expected<Json> &Answer) {
               ++State->Answered;
               const std::optional<PingResponse> Ping = parsePing(Answer);
               // Of two that stop, the one with the smaller folder goes first.
               if (Ping && Ping->Folder == Folder &&
                   (!Ping->Stopping || Own < Folder))
-                ++State->Serving;
+                State->Serving.insert(Folder);
             });
   }
-  while (State->Serving < Needed && State->Answered < State->Asked)
+  while (State->othersLeft() < Needed && State->Answered < State->Asked)
     co_await pause(Io, StopPollInterval / 10);
-  co_return State->Serving >= Needed;
+  co_return State->othersLeft() >= Needed;
 }
 
 Task<bool> LedgerNode::Impl::askMembersToCatchUp(View Remaining) {
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -87,6 +87,20 @@
   std::map<FolderId, CatchUpProgress> CatchUps;
   bool Retiring = false;
   bool Stopping = false;
+  /// Whether prepareStop() has returned, after which the process may exit.
+  bool StopPrepared = false;
+  /// The answers that isDispensable() has received.
+  struct StopInquiry {
+    std::size_t Asked = 0;
+    std::size_t Answered = 0;
+    /// Members that go on serving until this ledger is back.
+    std::set<FolderId> Serving;
+    /// Members that have asked this ledger meanwhile, and may stop before it.
+    std::set<FolderId> StopFirst;
+
+    std::size_t othersLeft() const;
+  };
+  std::shared_ptr<StopInquiry> Inquiry;
   bool Stopped = false;
 
   // LedgerCalls.cpp: handlers of calls from other processes.
@@ -154,6 +168,7 @@
   Task<bool> askMembersToCatchUp(View Remaining);
   /// Returns whether records can be stored while this ledger is down.
   Task<bool> isDispensable();
+  void handlePing(const Json &Body, const LinkServer::Reply &Answer);
   std::shared_ptr<LinkClient> linkTo(const std::string &Address);
   ViewMember self() const;
   /// What this ledger requires of views at the moment.
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -618,6 +618,37 @@
   }
 }
 
+/// Guards against a ledger that relies on another one, which had been told
+/// before that the first one does not stop, and goes as well.
+BOOST_FIXTURE_TEST_CASE(OneAfterTheOtherIfOneIsStoppedAMomentLater,
+                        QuorumFixture) {
+  startAll();
+  tellView();
+  std::vector<int> Ended;
+  const auto BeginStop = [&](int Number) {
+    asio::co_spawn(Io, Nodes[Number]->prepareStop(steadyNow() + 8s),
+                   [&Ended, this, Number](const std::exception_ptr &, bool) {
+                     Ended.push_back(Number);
+                     stop(Number);
+                   });
+  };
+  for (const Duration Delay : {1ms, 2ms, 3ms, 4ms})
+    for (const auto &[First, Second] : {std::pair(1, 3), std::pair(3, 1)}) {
+      BeginStop(First);
+      Io.run_for(Delay);
+      BeginStop(Second);
+      until([&] { return !Ended.empty(); });
+      Io.run_for(300ms);
+      BOOST_TEST(Ended.size() == 1U);
+      start(Ended.front());
+      until([&] { return Ended.size() == 2; });
+      start(Ended.back());
+      Ended.clear();
+      until([this] { return joinedCount() == 3; });
+      tellView();
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(AtTheLimitIfTheOthersStayAway, QuorumFixture) {
   startAll();
   tellView();
--- a/packages/turns/include/tamarack/turns/Messages.h
+++ b/packages/turns/include/tamarack/turns/Messages.h
@@ -37,7 +37,7 @@
 inline constexpr const char *FetchLinks = "links";
 /// RecordNames to LifetimesResponse: how long the ledger keeps these records.
 inline constexpr const char *Lifetimes = "lifetimes";
-/// Null to PingResponse.
+/// Null, or the FolderId of a ledger that is about to stop, to PingResponse.
 inline constexpr const char *Ping = "ping";
 /// CrashRequest to CrashNews: exchanges the requests under which endpoints
 /// crashed.
