--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -3,10 +3,8 @@
 #include "tamarack/net/Log.h"
 
 #include <algorithm>
-
-#include <utility>
-
 #include <poll.h>
+#include <utility>
 
 namespace tamarack {
 namespace {
