Count and log requests that are discarded behind an answer

A server that has ended its direction of a connection reads on until the caller closes, and throws away what arrives.

RequestsThatArePipelined/AreCountedIfTheyAreDiscarded was red without the count (0 in place of 1).

--- a/packages/net/include/tamarack/net/HttpServer.h
+++ b/packages/net/include/tamarack/net/HttpServer.h
@@ -70,11 +70,14 @@
   std::uint64_t CutWhileReading = 0;
   /// Lingering connections that the server closed before the caller did.
   std::uint64_t LingerTimeouts = 0;
+  /// Connections on which more bytes of the caller arrived behind a response
+  /// that ended them. Requests among these bytes have no answer.
+  std::uint64_t Discarded = 0;
   /// What was left at the deadline of closeAfterAnswers().
   HttpServerLoad CutAtDeadline;
 
   auto tied() const {
-    return std::tie(ClosedUnread, CutWhileReading, LingerTimeouts,
+    return std::tie(ClosedUnread, CutWhileReading, LingerTimeouts, Discarded,
                     CutAtDeadline);
   }
 };
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -1,5 +1,7 @@
 #include "HttpSession.h"
 
+#include "tamarack/net/Log.h"
+
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -112,8 +114,9 @@
 }
 
 Task<void> HttpSession::run() {
+  ReadOutcome Outcome = ReadOutcome::Complete;
   while (!Server->Closed) {
-    const ReadOutcome Outcome = co_await readRequest();
+    Outcome = co_await readRequest();
     if (Outcome == ReadOutcome::Disconnected)
       CallerDisconnected = true;
     if (Outcome != ReadOutcome::Complete)
@@ -123,7 +126,10 @@
       break;
   }
   if (!CallerDisconnected && !Server->Closed) {
-    co_await linger();
+    const std::size_t Discarded = co_await linger();
+    // What follows a refused request may be the rest of it.
+    if (Discarded > 0 && Outcome == ReadOutcome::Complete)
+      reportDiscarded(Discarded);
   }
   close();
   Server->Sessions.erase(this);
@@ -132,20 +138,34 @@
 
 /// If the socket were closed while the caller still sends, the kernel would
 /// reset the connection, which destroys what the caller has not read yet.
-Task<void> HttpSession::linger() {
+Task<std::size_t> HttpSession::linger() {
   Phase = SessionPhase::Lingering;
-  Deadline = steadyNow() + Server->Limits.LingerTimeout;
+  EndedAt = steadyNow();
+  FirstDiscardedAt = EndedAt;
+  Deadline = EndedAt + Server->Limits.LingerTimeout;
+  std::size_t Discarded = Buffer.size();
   Buffer = boost::beast::flat_buffer();
   const auto Position = Server->Lingering.insert(Server->Lingering.end(), this);
   Server->limitLingering();
   ErrorCode Failure;
   Socket.shutdown(Tcp::socket::shutdown_send, Failure);
   while (!Failure) {
-    co_await Socket.async_read_some(asio::buffer(Server->Discarded),
-                                    storeErrorIn(Failure));
+    const std::size_t Count = co_await Socket.async_read_some(
+        asio::buffer(Server->Discarded), storeErrorIn(Failure));
+    if (Discarded == 0 && Count > 0)
+      FirstDiscardedAt = steadyNow();
+    Discarded += Count;
   }
   Server->Lingering.erase(Position);
   CallerDisconnected = true;
+  co_return Discarded;
+}
+
+void HttpSession::reportDiscarded(std::size_t Bytes) {
+  ++Server->Counts.Discarded;
+  LogLine("server.requests_discarded")
+      .with("bytes", Bytes)
+      .with("after_end_ms", FirstDiscardedAt - EndedAt);
 }
 
 Task<ReadOutcome> HttpSession::readRequest() {
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -113,7 +113,9 @@
   Task<ReadOutcome> readRequest();
   Task<void> refuseRequest(int Status);
   Task<void> handleRequest();
-  Task<void> linger();
+  /// Returns how many bytes of the caller were discarded.
+  Task<std::size_t> linger();
+  void reportDiscarded(std::size_t Bytes);
   void watchForDisconnect();
   void handleDisconnect();
   bool canContinue();
@@ -137,6 +139,10 @@
   bool ResponseSent = false;
   bool Aborted = false;
   bool Watching = false;
+  /// When the server ended its direction, and when bytes that it discards
+  /// arrived first.
+  TimePoint EndedAt;
+  TimePoint FirstDiscardedAt;
   std::string PendingHead;
 };
 
--- a/packages/relay/src/GracefulStop.cpp
+++ b/packages/relay/src/GracefulStop.cpp
@@ -56,6 +56,7 @@
       .with("unsettled", Left.UnsettledRecords)
       .with("closed_unread", Counts.ClosedUnread)
       .with("cut_while_reading", Counts.CutWhileReading)
+      .with("discarded", Counts.Discarded)
       .with("cut_running", Counts.CutAtDeadline.Running)
       .with("cut_arriving", Counts.CutAtDeadline.Arriving)
       .with("cut_unaccepted", Counts.CutAtDeadline.Unaccepted);
