Decide when a response is written whether it ends its connection

What callers saw: a turn that is sent while the turn before it, on the same connection, waits for its first event got no answer if the entry was stopping. No standstill is needed: an event may take seconds.

Cause: begin() decided that the response closes the connection from what had arrived by then, and wrote nothing. The head goes out with the first event; what came in between was read and thrown away. answer() had the same order with a shorter time in between: decide, encode, write.

Class: a decision about a connection that outlives what it was based on.

Evidence: AreAnsweredBehindAStreamThatWaitsForItsFirstChunk, red before (the second request never started, one connection with discarded requests).

Now write() asks the kernel for unread bytes and writes the head in the same step, with one end of the head or the other; nothing is encoded in between.

--- a/packages/net/include/tamarack/net/HttpServer.h
+++ b/packages/net/include/tamarack/net/HttpServer.h
@@ -103,7 +103,8 @@
   /// the caller has disconnected.
   Task<bool> answer(HttpResponse Response);
   /// Starts a response with a chunked body. \p Head is sent with the first
-  /// chunk; until then answer() may replace the response.
+  /// chunk; until then answer() may replace the response, and it is not decided
+  /// whether it closes its connection.
   void begin(HttpHead Head);
   /// Whether a part of a response was sent, after which there can be no other.
   bool isResponseStarted() const;
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -19,6 +19,9 @@
 
 /// The connection is closed if sent data stays unacknowledged for this long.
 constexpr Duration CallerAckTimeout = std::chrono::seconds(3);
+/// The end of a response's head.
+constexpr std::string_view HeadEnd = "\r\n";
+constexpr std::string_view ClosingHeadEnd = "Connection: close\r\n\r\n";
 /// A read buffer that has grown beyond this size is freed after the request.
 constexpr std::size_t MaxRetainedBufferBytes = 8U << 10U;
 
@@ -46,6 +49,13 @@
   return Method != "HEAD" && Status != 204 && Status != 304;
 }
 
+/// Encodes \p Head without its end.
+std::string encodeOpenHead(const HttpHead &Head) {
+  std::string Text = encodeHead(Head);
+  Text.resize(Text.size() - HeadEnd.size());
+  return Text;
+}
+
 int statusOf(const ErrorCode &Failure) {
   if (Failure == http::error::header_limit)
     return 431;
@@ -274,8 +284,18 @@
   const TimePoint ReadDeadline = std::exchange(
       Deadline, steadyNow() + Server->Limits.ResponseWriteTimeout);
   Writing = true;
+  const std::string Head = std::exchange(PendingHead, {});
+  std::string_view EndOfHead;
+  // Decided right before the write, since the process may stand still between
+  // the two, and the caller may send another request meanwhile.
+  if (!Head.empty()) {
+    KeepAlive = KeepAlive && !isLastResponse();
+    EndOfHead = KeepAlive ? HeadEnd : ClosingHeadEnd;
+  }
+  const std::array<asio::const_buffer, 3> Parts = {
+      asio::buffer(Head), asio::buffer(EndOfHead), asio::buffer(Text)};
   ErrorCode Failure;
-  co_await asio::async_write(Socket, asio::buffer(Text), storeErrorIn(Failure));
+  co_await asio::async_write(Socket, Parts, storeErrorIn(Failure));
   Writing = false;
   Deadline = ReadDeadline;
   if (Failure && !Aborted)
@@ -283,46 +303,42 @@
   co_return !Failure;
 }
 
+bool HttpSession::hasUnread() {
+  return Buffer.size() > 0 || unreadBytes() > 0;
+}
+
 /// Requests that have arrived behind the current one would be lost if its
 /// response closed the connection.
 bool HttpSession::isLastResponse() {
-  return (Server->Draining || CloseRequested) && Buffer.size() == 0 &&
-         unreadBytes() == 0;
+  return (Server->Draining || CloseRequested) && !hasUnread();
 }
 
 Task<bool> HttpSession::answer(HttpResponse Response) {
-  KeepAlive = KeepAlive && !isLastResponse();
   if (mayHaveBody(Request.Method, Response.Head.Status))
     Response.Head.Fields.add("Content-Length",
                              std::to_string(Response.Body.size()));
   else
     Response.Body.clear();
-  if (!KeepAlive)
-    Response.Head.Fields.add("Connection", "close");
   ResponseSent = true;
-  PendingHead.clear();
-  std::string Text = encodeHead(Response.Head) + Response.Body;
-  co_return co_await write(std::move(Text));
+  PendingHead = encodeOpenHead(Response.Head);
+  co_return co_await write(std::move(Response.Body));
 }
 
 void HttpSession::begin(HttpHead Head) {
-  KeepAlive = KeepAlive && !isLastResponse();
   Head.Fields.add("Transfer-Encoding", "chunked");
-  if (!KeepAlive)
-    Head.Fields.add("Connection", "close");
-  PendingHead = encodeHead(Head);
+  PendingHead = encodeOpenHead(Head);
 }
 
 Task<bool> HttpSession::sendChunk(std::string_view Data) {
   ResponseStarted = true;
-  std::string Text = std::exchange(PendingHead, {}) + encodeChunk(Data);
+  std::string Text = encodeChunk(Data);
   co_return co_await write(std::move(Text));
 }
 
 Task<bool> HttpSession::end() {
   ResponseStarted = true;
   ResponseSent = true;
-  std::string Text = std::exchange(PendingHead, {}) + std::string(LastChunk);
+  std::string Text(LastChunk);
   co_return co_await write(std::move(Text));
 }
 
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -122,8 +122,11 @@
   /// Number of received bytes that wait in the kernel.
   std::size_t unreadBytes();
   TimePoint idleDeadline(TimePoint Now) const;
-  /// Whether the response that begins now is to close the connection.
+  /// Whether bytes of a request have arrived that is not read yet.
+  bool hasUnread();
+  /// Whether the response whose head is written now is to end the connection.
   bool isLastResponse();
+  /// Writes the pending head, if there is one, and \p Text.
   Task<bool> write(std::string Text);
 
   std::shared_ptr<HttpServer::Impl> Server;
@@ -143,6 +146,7 @@
   /// arrived first.
   TimePoint EndedAt;
   TimePoint FirstDiscardedAt;
+  /// The head of the response without its end, until it is written.
   std::string PendingHead;
 };
 
--- a/packages/net/test/HttpServerFixture.h
+++ b/packages/net/test/HttpServerFixture.h
@@ -30,9 +30,17 @@
 
   Task<void> answer(HttpExchange &Call) {
     ++Started;
+    HttpHead StreamHead{200, {}};
+    if (Streams)
+      Call.begin(std::move(StreamHead));
     while (Held) {
       co_await pause(Io, 1ms);
     }
+    if (Streams) {
+      co_await Call.sendChunk(Body);
+      co_await Call.end();
+      co_return;
+    }
     if (BreaksOff) {
       HttpHead Head{200, {}};
       Call.begin(std::move(Head));
@@ -74,10 +82,18 @@
   }
 
   std::size_t countResponses(const std::string &Received) const {
+    return countOf(Received, "\r\n\r\n" + Body);
+  }
+
+  /// Number of complete chunked responses in \p Received.
+  static std::size_t countStreams(const std::string &Received) {
+    return countOf(Received, "\r\n0\r\n\r\n");
+  }
+
+  static std::size_t countOf(const std::string &Text, const std::string &Part) {
     std::size_t Count = 0;
-    const std::string Last = "\r\n\r\n" + Body;
-    for (std::size_t At = Received.find(Last); At != std::string::npos;
-         At = Received.find(Last, At + Last.size()))
+    for (std::size_t At = Text.find(Part); At != std::string::npos;
+         At = Text.find(Part, At + Part.size()))
       ++Count;
     return Count;
   }
@@ -107,6 +123,8 @@
   bool Held = false;
   /// Whether responses close their connection.
   bool Closes = false;
+  /// Whether responses are streams, whose handlers wait for the first chunk.
+  bool Streams = false;
   /// Whether responses are broken off after their first chunk.
   bool BreaksOff = false;
   int Started = 0;
