Keep the connections of callers that pipeline until they are idle

Cause: an entry that is stopping ended a connection by any answer behind which nothing waited. A caller that does not wait for answers may send a request at any time before it reads that one, and if the process is stopped between the question and the write, that time is as long as it stands still.

Now a caller that has sent a request before the previous answer keeps its connection while the entry serves; it ends while idle, or with a refusal, behind which everything would be refused.

--- a/packages/net/include/tamarack/net/HttpServer.h
+++ b/packages/net/include/tamarack/net/HttpServer.h
@@ -13,6 +13,12 @@
 /// sent before: it ends its own direction, and discards what still arrives
 /// until the caller has closed the connection too. Meanwhile the connection is
 /// called lingering.
+///
+/// Requests may be pipelined: a caller may send the next one before it has the
+/// previous answer. An answer ends a connection only if no request waits behind
+/// it. drain() alone ends the connections of callers that pipeline only while
+/// they are idle, as such a caller may send a request at any time before it
+/// learns of the end.
 #ifndef TAMARACK_NET_HTTPSERVER_H
 #define TAMARACK_NET_HTTPSERVER_H
 
@@ -140,8 +146,8 @@
   Expected<void> listen(const std::string &Address);
   /// The idle timeout of drain() outlasts later limits.
   void setLimits(const HttpServerLimits &Limits);
-  /// From now on each response closes its connection, unless a further request
-  /// has arrived on it, and idle connections are closed after \p IdleTimeout.
+  /// From now on each response closes its connection, unless its caller
+  /// pipelines, and idle connections are closed after \p IdleTimeout.
   void drain(Duration IdleTimeout);
   /// Number of requests whose handlers are running.
   std::size_t running() const;
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -175,7 +175,8 @@
   ++Server->Counts.Discarded;
   LogLine("server.requests_discarded")
       .with("bytes", Bytes)
-      .with("after_end_ms", FirstDiscardedAt - EndedAt);
+      .with("after_end_ms", FirstDiscardedAt - EndedAt)
+      .with("pipelines", Pipelines ? 1 : 0);
 }
 
 Task<ReadOutcome> HttpSession::readRequest() {
@@ -255,6 +256,7 @@
 
 void HttpSession::watchForDisconnect() {
   // If bytes of the next request have arrived, the caller is still connected.
+  Pipelines = Pipelines || Buffer.size() > 0;
   if (Buffer.size() > 0 || Watching)
     return;
   Watching = true;
@@ -268,6 +270,9 @@
         ::recv(Self->Socket.native_handle(), &Next, 1, MSG_PEEK | MSG_DONTWAIT);
     if (Count == 0 || (Count < 0 && errno != EAGAIN))
       Self->handleDisconnect();
+    // After the end of the response it would be an ordinary next request.
+    else if (!Self->ResponseSent)
+      Self->Pipelines = true;
   });
 }
 
@@ -303,14 +308,19 @@
   co_return !Failure;
 }
 
-bool HttpSession::hasUnread() {
-  return Buffer.size() > 0 || unreadBytes() > 0;
-}
+bool HttpSession::hasUnread() { return Buffer.size() > 0 || unreadBytes() > 0; }
 
-/// Requests that have arrived behind the current one would be lost if its
-/// response closed the connection.
+/// A caller reads the end of the connection later than it is decided. What it
+/// sends meanwhile has no answer, so a connection on which it does not wait for
+/// answers ends while it is idle, except if its requests are refused anyway.
 bool HttpSession::isLastResponse() {
-  return (Server->Draining || CloseRequested) && !hasUnread();
+  if (!Server->Draining && !CloseRequested)
+    return false;
+  if (hasUnread()) {
+    Pipelines = true;
+    return false;
+  }
+  return CloseRequested || Server->Closing || !Pipelines;
 }
 
 Task<bool> HttpSession::answer(HttpResponse Response) {
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -142,6 +142,8 @@
   bool ResponseSent = false;
   bool Aborted = false;
   bool Watching = false;
+  /// Whether the caller has sent a request before the previous answer.
+  bool Pipelines = false;
   /// When the server ended its direction, and when bytes that it discards
   /// arrived first.
   TimePoint EndedAt;
