Tell the relay of a planned stop in one call, and end a connection in one place

Relay::stop() takes the plan in place of three of its times in two calls. HttpServer::running() is gone: load() tells the same. HttpSession ends its direction of a connection in endSending().

--- a/packages/net/include/tamarack/net/HttpServer.h
+++ b/packages/net/include/tamarack/net/HttpServer.h
@@ -149,8 +149,6 @@
   /// From now on each response closes its connection, unless its caller
   /// pipelines, and idle connections are closed after \p IdleTimeout.
   void drain(Duration IdleTimeout);
-  /// Number of requests whose handlers are running.
-  std::size_t running() const;
   /// Number of open connections, lingering ones included.
   std::size_t connections() const;
   HttpServerLoad load() const;
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -136,7 +136,6 @@
     Session->closeIdleAt(steadyNow() + IdleTimeout);
 }
 
-std::size_t HttpServer::running() const { return Inner->Running; }
 std::size_t HttpServer::connections() const { return Inner->Sessions.size(); }
 
 HttpServerLoad HttpServer::load() const { return Inner->load(); }
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -157,8 +157,7 @@
   Buffer = boost::beast::flat_buffer();
   const auto Position = Server->Lingering.insert(Server->Lingering.end(), this);
   Server->limitLingering();
-  ErrorCode Failure;
-  Socket.shutdown(Tcp::socket::shutdown_send, Failure);
+  ErrorCode Failure = endSending();
   while (!Failure) {
     const std::size_t Count = co_await Socket.async_read_some(
         asio::buffer(Server->Discarded), storeErrorIn(Failure));
@@ -239,11 +238,9 @@
   PendingHead.clear();
   Phase = SessionPhase::Answering;
   HasCarriedRequest = true;
-  ++Server->Running;
   watchForDisconnect();
   HttpExchange Exchange(*this);
   co_await Server->Handle(Exchange);
-  --Server->Running;
   DisconnectCallback = nullptr;
   if (Watching) {
     ErrorCode Ignored; // Only the wait of watchForDisconnect() is pending.
@@ -357,7 +354,14 @@
     return;
   ErrorCode Ignored; // If the connection is lost, nothing is left to end.
   Socket.cancel(Ignored);
-  Socket.shutdown(Tcp::socket::shutdown_send, Ignored);
+  endSending();
+}
+
+ErrorCode HttpSession::endSending() {
+  ErrorCode Failure;
+  if (!std::exchange(SendingEnded, true))
+    Socket.shutdown(Tcp::socket::shutdown_send, Failure);
+  return Failure;
 }
 
 void HttpSession::close() {
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -35,7 +35,6 @@
   const Handler Handle;
   std::optional<Tcp::acceptor> Listener;
   std::unordered_set<internal::HttpSession *> Sessions;
-  std::size_t Running = 0;
   /// Whether acceptLoop() runs.
   bool Accepting = false;
   bool Draining = false;
@@ -116,6 +115,8 @@
   /// Returns how many bytes of the caller were discarded.
   Task<std::size_t> linger();
   void reportDiscarded(std::size_t Bytes);
+  /// Ends the server's direction of the connection, once.
+  ErrorCode endSending();
   void watchForDisconnect();
   void handleDisconnect();
   bool canContinue();
@@ -141,6 +142,7 @@
   bool CloseRequested = false;
   bool ResponseSent = false;
   bool Aborted = false;
+  bool SendingEnded = false;
   bool Watching = false;
   /// Whether the caller has sent a request before the previous answer.
   bool Pipelines = false;
--- a/packages/net/test/HttpServerTest.cpp
+++ b/packages/net/test/HttpServerTest.cpp
@@ -87,7 +87,7 @@
   BOOST_TEST(Cut == 0);
   BOOST_TEST(NotConnected == 0);
   BOOST_TEST(Closing >= Clients);
-  BOOST_TEST(Server.running() == 0U);
+  BOOST_TEST(Server.load().Running == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/relay/include/tamarack/relay/Relay.h
+++ b/packages/relay/include/tamarack/relay/Relay.h
@@ -24,6 +24,7 @@
 #include "tamarack/relay/Dialect.h"
 #include "tamarack/relay/EndpointTable.h"
 #include "tamarack/relay/RelayMetrics.h"
+#include "tamarack/relay/StopPlan.h"
 
 #include <functional>
 #include <memory>
@@ -79,13 +80,10 @@
   EndpointNews endpointNews() const;
   /// Sets the sum of what all other entries of the region report.
   void setRemoteNews(const EndpointNews &News);
-  /// Rejects requests that come at \p From or later as not run, because the
-  /// process is shutting down.
-  void rejectNewRequests(TimePoint From = TimePoint::min());
-  /// Limits all running and later requests, because the process is shutting
-  /// down: none is sent to an endpoint from \p SendBy on, and those that still
-  /// run at \p AnswerBy are answered then, or their streams are aborted.
-  void stopBy(TimePoint SendBy, TimePoint AnswerBy);
+  /// Limits all running and later requests by the times of \p Plan, because
+  /// the process is shutting down. Streams that still run when requests are
+  /// answered are aborted.
+  void stop(const StopPlan &Plan);
   /// Whether the configuration and the endpoints are known and a quorum of
   /// ledgers can be reached, so that requests can be served.
   bool isReady() const;
--- a/packages/relay/include/tamarack/relay/StopPlan.h
+++ b/packages/relay/include/tamarack/relay/StopPlan.h
@@ -30,16 +30,16 @@
 /// The value of \p Stage in log lines.
 const char *nameOf(StopStage Stage);
 
-/// When the stages of a stop begin at the latest.
+/// When the stages of a stop begin at the latest; without times, never.
 struct StopPlan {
   /// From then on new requests are refused as not run.
-  TimePoint RefuseAt;
+  TimePoint RefuseAt = TimePoint::max();
   /// From then on no request is sent to an endpoint.
-  TimePoint SendBy;
+  TimePoint SendBy = TimePoint::max();
   /// When requests that still run are answered, and Closing begins.
-  TimePoint AnswerBy;
+  TimePoint AnswerBy = TimePoint::max();
   /// When the process exits.
-  TimePoint ExitBy;
+  TimePoint ExitBy = TimePoint::max();
 
   friend bool operator==(const StopPlan &, const StopPlan &) = default;
 };
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -178,7 +178,7 @@
                                 bool HasAnswered) {
   const TimePoint Now = steadyNow();
   // A stopping process cancels requests that the endpoint has time for.
-  if (!HasAnswered && Now - SentAt >= SilentRequestTime && Now < AnswerBy)
+  if (!HasAnswered && Now - SentAt >= SilentRequestTime && Now < Stop.AnswerBy)
     Endpoints.onErrorResponse(To.Endpoint, Now);
 }
 
--- a/packages/relay/src/GracefulStop.cpp
+++ b/packages/relay/src/GracefulStop.cpp
@@ -67,8 +67,7 @@
   Plan = planStop(BegunAt, Grace);
   logStage("process.stopping", observe());
   CallerServer.drain(DrainIdleTimeout);
-  RequestRelay.rejectNewRequests(Plan.RefuseAt);
-  RequestRelay.stopBy(Plan.SendBy, Plan.AnswerBy);
+  RequestRelay.stop(Plan);
 }
 
 Task<void> GracefulStop::Impl::run(std::function<void()> OnEnded) {
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -89,11 +89,8 @@
 
 const Catalog &Relay::catalog() const { return Inner->ActiveCatalog; }
 
-void Relay::rejectNewRequests(TimePoint From) { Inner->RejectFrom = From; }
-
-void Relay::stopBy(TimePoint SendBy, TimePoint AnswerBy) {
-  Inner->SendBy = SendBy;
-  Inner->AnswerBy = AnswerBy;
+void Relay::stop(const StopPlan &Plan) {
+  Inner->Stop = Plan;
   for (const auto &Context : Inner->Running)
     Inner->startDeadline(Context);
 }
@@ -109,7 +106,7 @@
 
 std::optional<Error> Relay::Impl::prepare(RequestContext &Context) {
   const HttpRequest &Request = Context.Caller.request();
-  if (steadyNow() >= RejectFrom)
+  if (steadyNow() >= Stop.RefuseAt)
     return leavingError();
   if (ActiveCatalog.Version == 0)
     return Error{ErrorKind::PlatformUnavailable,
@@ -222,7 +219,7 @@
 
 void Relay::Impl::startDeadline(
     const std::shared_ptr<RequestContext> &Context) {
-  Context->Deadline = std::min(Context->Deadline, AnswerBy);
+  Context->Deadline = std::min(Context->Deadline, Stop.AnswerBy);
   Context->DeadlineTimer.expires_at(Context->Deadline);
   Context->DeadlineTimer.async_wait([Context](const ErrorCode &Cancelled) {
     if (Cancelled)
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -177,10 +177,7 @@
     bool IsCalled = false;
   };
   std::map<std::string, CrashPeer> CrashPeers;
-  TimePoint RejectFrom = TimePoint::max();
-  /// As passed to stopBy().
-  TimePoint SendBy = TimePoint::max();
-  TimePoint AnswerBy = TimePoint::max();
+  StopPlan Stop;
   /// The requests whose deadline timers run.
   std::set<std::shared_ptr<internal::RequestContext>> Running;
 
@@ -196,11 +193,11 @@
   /// Cancels the request at its deadline, which is capped if the process stops.
   void startDeadline(const std::shared_ptr<internal::RequestContext> &Context);
   /// Whether requests are sent to endpoints no more, because the process stops.
-  bool isSendingOver() const { return steadyNow() >= SendBy; }
+  bool isSendingOver() const { return steadyNow() >= Stop.SendBy; }
   /// The time until which a request that was not sent yet may wait for
   /// something, \p Limit at most.
   TimePoint waitLimit(TimePoint Deadline, Duration Limit) const {
-    return std::min({Deadline, steadyNow() + Limit, SendBy});
+    return std::min({Deadline, steadyNow() + Limit, Stop.SendBy});
   }
   /// The time since the configuration was confirmed; empty if it never was.
   std::optional<Duration> catalogAge() const;
--- a/packages/relay/test/RelayTest.cpp
+++ b/packages/relay/test/RelayTest.cpp
@@ -320,7 +320,9 @@
 
 BOOST_AUTO_TEST_CASE(DuringShutdown) {
   setResponses({{signedResponse("hello")}});
-  RequestRelay.rejectNewRequests();
+  StopPlan Plan;
+  Plan.RefuseAt = steadyNow();
+  RequestRelay.stop(Plan);
   const HttpResponse Response = sendRequest("/once/a", {{"Id", "1"}}, "b");
   BOOST_TEST(Response.Head.Status == 503);
   BOOST_TEST(Response.Head.Fields.has("Retry-After"));
