Let a caller that reads slowly read the whole of a large response

What callers saw: a response of several megabytes to a caller on a slow link was cut after 5 s, though the caller read all the while: an answered request that ends without its answer.

Cause: the time limit was for the whole of a write, and the look at the clock finds the socket of a slow reader full at almost any moment.

Now the limit is for each part that the caller takes, of 64 KB at most.

--- a/packages/net/include/tamarack/net/HttpServer.h
+++ b/packages/net/include/tamarack/net/HttpServer.h
@@ -38,7 +38,7 @@
   Duration RequestReadTimeout = std::chrono::seconds(10);
   /// How long a connection may stay idle between requests.
   Duration KeepAliveTimeout = std::chrono::seconds(15);
-  /// Maximum time of one write of response data.
+  /// How long a caller may take nothing of a response that waits for it.
   Duration ResponseWriteTimeout = std::chrono::seconds(5);
   /// Maximum time for which a connection lingers.
   Duration LingerTimeout = std::chrono::seconds(5);
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -22,6 +22,8 @@
 /// The end of a response's head.
 constexpr std::string_view HeadEnd = "\r\n";
 constexpr std::string_view ClosingHeadEnd = "Connection: close\r\n\r\n";
+/// The maximum number of bytes of a response that are written at once.
+constexpr std::size_t MaxWriteBytes = 64U << 10U;
 /// A read buffer that has grown beyond this size is freed after the request.
 constexpr std::size_t MaxRetainedBufferBytes = 8U << 10U;
 
@@ -283,8 +285,7 @@
 Task<bool> HttpSession::write(std::string Text) {
   if (CallerDisconnected || Aborted || !Socket.is_open())
     co_return false;
-  const TimePoint ReadDeadline = std::exchange(
-      Deadline, steadyNow() + Server->Limits.ResponseWriteTimeout);
+  const TimePoint ReadDeadline = Deadline;
   Writing = true;
   const std::string Head = std::exchange(PendingHead, {});
   std::string_view EndOfHead;
@@ -296,8 +297,13 @@
   }
   const std::array<asio::const_buffer, 3> Parts = {
       asio::buffer(Head), asio::buffer(EndOfHead), asio::buffer(Text)};
+  // Called before each part: a caller that reads slowly has time for each.
+  const auto MaxNextPart = [this](const ErrorCode &Failed, std::size_t) {
+    Deadline = steadyNow() + Server->Limits.ResponseWriteTimeout;
+    return Failed ? 0 : MaxWriteBytes;
+  };
   ErrorCode Failure;
-  co_await asio::async_write(Socket, Parts, storeErrorIn(Failure));
+  co_await asio::async_write(Socket, Parts, MaxNextPart, storeErrorIn(Failure));
   Writing = false;
   Deadline = ReadDeadline;
   if (Failure && !Aborted)
--- a/packages/net/test/HttpServerConnectionsTest.cpp
+++ b/packages/net/test/HttpServerConnectionsTest.cpp
@@ -142,6 +142,35 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WithALargeResponse)
+
+/// Guards against cutting the response of a caller that reads all the while,
+/// because the whole of it takes longer than one write may.
+BOOST_FIXTURE_TEST_CASE(IsKeptWhileTheCallerReads, StallExceedsTimeouts) {
+  Body = std::string(16U << 20U, 'b');
+  RawClient Client(ServerPort, 64 << 10);
+  Client.sendAll(GetRequest);
+  const TimePoint StartedAt = steadyNow();
+  BOOST_TEST(runUntil([&] {
+    Io.run_for(20ms);
+    return countResponses(Client.receiveSome(128U << 10U)) == 1 ||
+           Client.isEnded() || Client.isReset();
+  }));
+  BOOST_TEST((steadyNow() - StartedAt > 2 * Timeout));
+  BOOST_TEST(countResponses(Client.receive()) == 1U);
+}
+
+/// Guards against connections that callers which do not read keep forever.
+BOOST_FIXTURE_TEST_CASE(IsClosedIfTheCallerStopsReading, StallExceedsTimeouts) {
+  Body = std::string(16U << 20U, 'b');
+  RawClient Client(ServerPort, 64 << 10);
+  Client.sendAll(GetRequest);
+  BOOST_REQUIRE(runUntil([&] { return Client.receiveSome(1).size() > 0U; }));
+  BOOST_TEST(runUntil([&] { return Server.connections() == 0; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WithASlowRequest)
 
 /// Guards against cut requests that nothing counts.
