Let a caller that reads very slowly read the whole of a large response

Evidence: IsKeptWhileTheCallerReadsVerySlowly (64 KB each 50 ms), red before, green now. A caller that stops reading is still closed.

Now a write has more time whenever fewer bytes wait for the caller than at the check before.

--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <linux/sockios.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -80,12 +81,25 @@
   const bool IsBounded = Phase == SessionPhase::Lingering;
   if (!Socket.is_open() || Now <= Deadline || (!IsBounded && canContinue()))
     return;
+  if (Writing)
+    extendIfCallerReads(Now);
   close();
 }
 
 TimePoint HttpSession::idleDeadline(TimePoint Now) const {
   if (!Server->Closing)
     return Now + Server->Limits.KeepAliveTimeout;
+/// The kernel takes the next part only when much of its buffer is free, which a
+/// caller that reads slowly needs long for.
+void HttpSession::extendIfCallerReads(TimePoint Now) {
+  int Queued = 0;
+  if (::ioctl(Socket.native_handle(), SIOCOUTQ, &Queued) != 0)
+    return;
+  if (Queued < QueuedBytes)
+    Deadline = Now + Server->Limits.ResponseWriteTimeout;
+  QueuedBytes = Queued;
+}
+
   return HasCarriedRequest ? TimePoint::min()
                            : Now + Server->Limits.ClosingRequestTimeout;
 }
@@ -297,7 +311,7 @@
   }
   const std::array<asio::const_buffer, 3> Parts = {
       asio::buffer(Head), asio::buffer(EndOfHead), asio::buffer(Text)};
-  // Called before each part: a caller that reads slowly has time for each.
+  // Called before each part, so that each has its time.
   const auto MaxNextPart = [this](const ErrorCode &Failed, std::size_t) {
     Deadline = steadyNow() + Server->Limits.ResponseWriteTimeout;
     return Failed ? 0 : MaxWriteBytes;
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -123,6 +123,9 @@
   /// Number of received bytes that wait in the kernel.
   std::size_t unreadBytes();
   TimePoint idleDeadline(TimePoint Now) const;
+  /// Extends the time of a write if the caller has received something of it
+  /// since the last call.
+  void extendIfCallerReads(TimePoint Now);
   /// Whether bytes of a request have arrived that is not read yet.
   bool hasUnread();
   /// Whether the response whose head is written now is to end the connection.
@@ -139,6 +142,8 @@
   bool Writing = false;
   bool HasCarriedRequest = false;
   bool KeepAlive = true;
+  /// Sent bytes that the caller had not received at the last check.
+  int QueuedBytes = 0;
   bool CloseRequested = false;
   bool ResponseSent = false;
   bool Aborted = false;
--- a/packages/net/test/HttpServerConnectionsTest.cpp
+++ b/packages/net/test/HttpServerConnectionsTest.cpp
@@ -160,6 +160,25 @@
   BOOST_TEST(countResponses(Client.receive()) == 1U);
 }
 
+/// Guards against the same for a caller that needs longer than one write may
+/// take for the part of its buffer that the kernel wants free.
+BOOST_FIXTURE_TEST_CASE(IsKeptWhileTheCallerReadsVerySlowly,
+                        StallExceedsTimeouts) {
+  Body = std::string(16U << 20U, 'b');
+  RawClient Client(ServerPort, 64 << 10);
+  Client.sendAll(GetRequest);
+  const TimePoint StartedAt = steadyNow();
+  BOOST_TEST(runUntil([&] {
+    Io.run_for(50ms);
+    Client.receiveSome(64U << 10U);
+    return steadyNow() - StartedAt > 8 * Timeout || Client.isEnded() ||
+           Client.isReset();
+  }));
+  BOOST_TEST(Server.connections() == 1U);
+  BOOST_TEST(!Client.isEnded());
+  BOOST_TEST(!Client.isReset());
+}
+
 /// Guards against connections that callers which do not read keep forever.
 BOOST_FIXTURE_TEST_CASE(IsClosedIfTheCallerStopsReading, StallExceedsTimeouts) {
   Body = std::string(16U << 20U, 'b');
