Ask again whether a response is the last if the answer is old

A process that is stopped is stopped at the return of a system call, and so right after it has asked the kernel for unread bytes. What the caller sends while it stands still is lost if the response then ends the connection. The age of the decision is looked at before it is carried out.

It remains possible between two instructions.

--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -23,6 +23,9 @@
 /// The end of a response's head.
 constexpr std::string_view HeadEnd = "\r\n";
 constexpr std::string_view ClosingHeadEnd = "Connection: close\r\n\r\n";
+/// A decision that is older may be out of date, as the process was not
+/// scheduled since.
+constexpr Duration MaxDecisionAge = std::chrono::milliseconds(1);
 /// The maximum number of bytes of a response that are written at once.
 constexpr std::size_t MaxWriteBytes = 64U << 10U;
 /// A read buffer that has grown beyond this size is freed after the request.
@@ -306,7 +309,7 @@
   // Decided right before the write, since the process may stand still between
   // the two, and the caller may send another request meanwhile.
   if (!Head.empty()) {
-    KeepAlive = KeepAlive && !isLastResponse();
+    KeepAlive = KeepAlive && !decideWhetherLast();
     EndOfHead = KeepAlive ? HeadEnd : ClosingHeadEnd;
   }
   const std::array<asio::const_buffer, 3> Parts = {
@@ -338,6 +341,15 @@
     return false;
   }
   return CloseRequested || Server->Closing || !Pipelines;
+bool HttpSession::decideWhetherLast() {
+  while (true) {
+    const TimePoint AskedAt = steadyNow();
+    const bool IsLast = isLastResponse();
+    if (!IsLast || steadyNow() - AskedAt <= MaxDecisionAge)
+      return IsLast;
+  }
+}
+
 }
 
 Task<bool> HttpSession::answer(HttpResponse Response) {
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -130,6 +130,8 @@
   bool hasUnread();
   /// Whether the response whose head is written now is to end the connection.
   bool isLastResponse();
+  /// Returns isLastResponse() as it was no longer than MaxDecisionAge ago.
+  bool decideWhetherLast();
   /// Writes the pending head, if there is one, and \p Text.
   Task<bool> write(std::string Text);
 
