Count discarded requests when they are read, and say which had waited

Requests behind an end were counted once the caller had closed its connection, so that the last lines of a stop lacked them if its deadline came first, and the log line told the length of a standstill as time for which the caller went on. The line now says how many bytes waited when the connection ended. What follows a request whose caller asked for the end itself does not count.

AreCountedAtTheDeadlineOfAStop was red before (0 in place of 1).

--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -81,17 +81,14 @@
 void HttpSession::sweep(TimePoint Now, Duration Stalled) {
   if (Phase != SessionPhase::Idle && Deadline != TimePoint::max())
     Deadline += Stalled;
+  if (Writing)
+    extendIfCallerReads(Now);
   const bool IsBounded = Phase == SessionPhase::Lingering;
   if (!Socket.is_open() || Now <= Deadline || (!IsBounded && canContinue()))
     return;
-  if (Writing)
-    extendIfCallerReads(Now);
   close();
 }
 
-TimePoint HttpSession::idleDeadline(TimePoint Now) const {
-  if (!Server->Closing)
-    return Now + Server->Limits.KeepAliveTimeout;
 /// The kernel takes the next part only when much of its buffer is free, which a
 /// caller that reads slowly needs long for.
 void HttpSession::extendIfCallerReads(TimePoint Now) {
@@ -103,6 +100,9 @@
   QueuedBytes = Queued;
 }
 
+TimePoint HttpSession::idleDeadline(TimePoint Now) const {
+  if (!Server->Closing)
+    return Now + Server->Limits.KeepAliveTimeout;
   return HasCarriedRequest ? TimePoint::min()
                            : Now + Server->Limits.ClosingRequestTimeout;
 }
@@ -155,10 +155,10 @@
       break;
   }
   if (!CallerDisconnected && !Server->Closed) {
-    const std::size_t Discarded = co_await linger();
     // What follows a refused request may be the rest of it.
-    if (Discarded > 0 && Outcome == ReadOutcome::Complete)
-      reportDiscarded(Discarded);
+    const bool HoldsRequests =
+        Outcome == ReadOutcome::Complete && CallerKeepsAlive;
+    co_await linger(HoldsRequests);
   }
   close();
   Server->Sessions.erase(this);
@@ -167,34 +167,30 @@
 
 /// If the socket were closed while the caller still sends, the kernel would
 /// reset the connection, which destroys what the caller has not read yet.
-Task<std::size_t> HttpSession::linger() {
+Task<void> HttpSession::linger(bool HoldsRequests) {
   Phase = SessionPhase::Lingering;
-  EndedAt = steadyNow();
-  FirstDiscardedAt = EndedAt;
+  const TimePoint EndedAt = steadyNow();
   Deadline = EndedAt + Server->Limits.LingerTimeout;
-  std::size_t Discarded = Buffer.size();
-  Buffer = boost::beast::flat_buffer();
   const auto Position = Server->Lingering.insert(Server->Lingering.end(), this);
   Server->limitLingering();
   ErrorCode Failure = endSending();
+  const std::size_t Waiting = Buffer.size() + unreadBytes();
+  std::size_t Discarded = Buffer.size();
+  Buffer = boost::beast::flat_buffer();
   while (!Failure) {
-    const std::size_t Count = co_await Socket.async_read_some(
+    Discarded += co_await Socket.async_read_some(
         asio::buffer(Server->Discarded), storeErrorIn(Failure));
-    if (Discarded == 0 && Count > 0)
-      FirstDiscardedAt = steadyNow();
-    Discarded += Count;
+    if (Discarded == 0 || !std::exchange(HoldsRequests, false))
+      continue;
+    ++Server->Counts.Discarded;
+    LogLine("server.requests_discarded")
+        .with("bytes", Discarded)
+        .with("waiting", Waiting)
+        .with("after_end_ms", steadyNow() - EndedAt)
+        .with("pipelines", Pipelines ? 1 : 0);
   }
   Server->Lingering.erase(Position);
   CallerDisconnected = true;
-  co_return Discarded;
-}
-
-void HttpSession::reportDiscarded(std::size_t Bytes) {
-  ++Server->Counts.Discarded;
-  LogLine("server.requests_discarded")
-      .with("bytes", Bytes)
-      .with("after_end_ms", FirstDiscardedAt - EndedAt)
-      .with("pipelines", Pipelines ? 1 : 0);
 }
 
 Task<ReadOutcome> HttpSession::readRequest() {
@@ -228,7 +224,8 @@
     co_return ReadOutcome::Refused;
   }
   auto Message = Reader.release();
-  KeepAlive = Message.keep_alive();
+  CallerKeepsAlive = Message.keep_alive();
+  KeepAlive = CallerKeepsAlive;
   const auto Method = Message.method_string();
   const auto Target = Message.target();
   Request = {{Method.data(), Method.size()},
@@ -251,10 +248,10 @@
 }
 
 Task<void> HttpSession::handleRequest() {
-  CloseRequested = false;
   ResponseStarted = false;
   ResponseSent = false;
   CallerDisconnected = false;
+  CloseRequested = false;
   PendingHead.clear();
   Phase = SessionPhase::Answering;
   HasCarriedRequest = true;
@@ -342,6 +339,8 @@
     return false;
   }
   return CloseRequested || Server->Closing || !Pipelines;
+}
+
 bool HttpSession::decideWhetherLast() {
   while (true) {
     const TimePoint AskedAt = steadyNow();
@@ -351,8 +350,6 @@
   }
 }
 
-}
-
 Task<bool> HttpSession::answer(HttpResponse Response) {
   if (mayHaveBody(Request.Method, Response.Head.Status))
     Response.Head.Fields.add("Content-Length",
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -112,9 +112,9 @@
   Task<ReadOutcome> readRequest();
   Task<void> refuseRequest(int Status);
   Task<void> handleRequest();
-  /// Returns how many bytes of the caller were discarded.
-  Task<std::size_t> linger();
-  void reportDiscarded(std::size_t Bytes);
+  /// Reads and discards what arrives until the caller closes the connection.
+  /// \p HoldsRequests says whether these bytes are requests.
+  Task<void> linger(bool HoldsRequests);
   /// Ends the server's direction of the connection, once.
   ErrorCode endSending();
   void watchForDisconnect();
@@ -142,10 +142,13 @@
   TimePoint Deadline = TimePoint::max();
   SessionPhase Phase = SessionPhase::Idle;
   bool Writing = false;
-  bool HasCarriedRequest = false;
-  bool KeepAlive = true;
   /// Sent bytes that the caller had not received at the last check.
   int QueuedBytes = 0;
+  bool HasCarriedRequest = false;
+  /// Whether the caller wants to go on after the current request, and whether
+  /// the connection does.
+  bool CallerKeepsAlive = true;
+  bool KeepAlive = true;
   bool CloseRequested = false;
   bool ResponseSent = false;
   bool Aborted = false;
@@ -153,10 +156,6 @@
   bool Watching = false;
   /// Whether the caller has sent a request before the previous answer.
   bool Pipelines = false;
-  /// When the server ended its direction, and when bytes that it discards
-  /// arrived first.
-  TimePoint EndedAt;
-  TimePoint FirstDiscardedAt;
   /// The head of the response without its end, until it is written.
   std::string PendingHead;
 };
--- a/packages/net/test/HttpServerPipeliningTest.cpp
+++ b/packages/net/test/HttpServerPipeliningTest.cpp
@@ -124,6 +124,22 @@
   BOOST_TEST(Client.receive().find(CloseField) == std::string::npos);
 }
 
+/// Guards against discarded requests that are not counted because the deadline
+/// of a stop comes before the caller closes the connection.
+BOOST_FIXTURE_TEST_CASE(AreCountedAtTheDeadlineOfAStop, HttpServerFixture) {
+  Closes = true;
+  RawClient Client(ServerPort);
+  Client.sendAll(GetRequest);
+  BOOST_REQUIRE(runUntil([&] {
+    Client.receive();
+    return Client.isEnded();
+  }));
+  Client.sendAll(GetRequest);
+  startClosing(50ms);
+  BOOST_TEST(runUntil([&] { return IsClosed; }));
+  BOOST_TEST(Server.counts().Discarded == 1U);
+}
+
 /// Guards against callers that lose requests behind the end of a connection and
 /// nothing counts.
 BOOST_FIXTURE_TEST_CASE(AreCountedIfTheyAreDiscarded, HttpServerFixture) {
--- a/packages/relay/include/tamarack/relay/StopPlan.h
+++ b/packages/relay/include/tamarack/relay/StopPlan.h
@@ -16,7 +16,7 @@
 /// The stages of a planned stop, in their order.
 enum class StopStage {
   /// Readiness checks fail; requests are served, and each response closes its
-  /// connection.
+  /// connection, unless the caller pipelines.
   Announced,
   /// New requests are refused as not run.
   Refusing,
