Let a process that stood still read its links before it judges them

What callers saw: after a standstill of an entry or ledger of more than 0.7 s, its links were taken for silent and closed although replies waited in their sockets, and calls were reported as timed out whose replies had arrived in time. Records went out again, the member came last for a second, and a record near its deadline was told as not stored (503 not_enough_copies).

Cause: LinkClient::checkTimeouts() compared deadlines and the time of the last byte read with the clock. A timer that is due runs before the sockets are looked at, and the time in which the process itself did not run counted as silence of the peer.

Fix: a link is silent only if the kernel holds nothing unread of it, and not for the time by which the check is late. An overdue call is given up when nothing is unread, at the second look in any case, so that a peer that goes on sending other replies does not keep it: the loop has read in between.

The clock of links and ledgers is the steady one everywhere; no clock that steps takes part.

--- a/packages/net/src/LinkClient.cpp
+++ b/packages/net/src/LinkClient.cpp
@@ -15,6 +15,9 @@
   TimePoint Deadline;
   LinkClient::Callback Done;
   bool Sent = false;
+  /// Whether the deadline had passed while there were bytes to read, which may
+  /// hold the reply.
+  bool IsOverdue = false;
 };
 
 } // namespace
@@ -35,7 +38,8 @@
   std::shared_ptr<internal::LinkConnection> Current;
   std::map<std::uint64_t, PendingCall> Pending;
   std::uint64_t LastExchange = 0;
-  /// Start of the current wait for replies. Time before it is not silence.
+  /// Start of the current wait for replies, moved on by the time in which this
+  /// process did not run. Time before it is not silence.
   TimePoint WaitingSince;
   bool Connecting = false;
   bool TimerRunning = false;
@@ -127,25 +131,35 @@
     TimerRunning = true;
     spawn(Io, [](std::shared_ptr<Impl> Self) -> Task<void> {
       while (!Self->Pending.empty()) {
+        const TimePoint DueAt = steadyNow() + TickInterval;
         co_await pause(Self->Io, TickInterval);
-        Self->checkTimeouts(steadyNow());
+        const TimePoint Now = steadyNow();
+        Self->checkTimeouts(Now, Now - DueAt);
       }
       Self->TimerRunning = false;
     }(shared_from_this()));
   }
 
-  void checkTimeouts(TimePoint Now) {
+  /// \p Late tells how long after its time the check runs, because this process
+  /// stood still or was busy.
+  void checkTimeouts(TimePoint Now, Duration Late) {
+    const bool HasUnread = Current && Current->hasUnreadBytes();
     std::vector<Callback> Expired;
     for (auto Entry = Pending.begin(); Entry != Pending.end();) {
-      if (Entry->second.Deadline <= Now) {
-        Expired.push_back(std::move(Entry->second.Done));
+      PendingCall &Call = Entry->second;
+      const bool IsOverdue = Call.Deadline <= Now;
+      if (IsOverdue && (!HasUnread || Call.IsOverdue)) {
+        Expired.push_back(std::move(Call.Done));
         Entry = Pending.erase(Entry);
       } else {
+        Call.IsOverdue = IsOverdue;
         ++Entry;
       }
     }
+    if (Late > TickInterval && Current)
+      WaitingSince = std::max(WaitingSince, Current->lastReceivedAt()) + Late;
     // Every received byte counts, since a long reply arrives in many parts.
-    if (Current && !Pending.empty() &&
+    if (Current && !HasUnread && !Pending.empty() &&
         Now - std::max(WaitingSince, Current->lastReceivedAt()) >
             Options.SilenceTimeout) {
       const auto SilentConnection = Current;
--- a/packages/net/src/LinkFrame.cpp
+++ b/packages/net/src/LinkFrame.cpp
@@ -134,6 +134,12 @@
   WriterRuns = false;
 }
 
+bool LinkConnection::hasUnreadBytes() const {
+  ErrorCode Failure;
+  const std::size_t Count = Socket.available(Failure);
+  return !Failure && Count > 0;
+}
+
 void LinkConnection::close() {
   Closed = true;
   ErrorCode Ignored; // The socket is closed even on error.
--- a/packages/net/src/LinkFrame.h
+++ b/packages/net/src/LinkFrame.h
@@ -44,6 +44,8 @@
   void close();
   /// When the last byte was received, initially when this object was created.
   TimePoint lastReceivedAt() const { return LastReceivedAt; }
+  /// Whether the kernel holds received bytes that have not been read.
+  bool hasUnreadBytes() const;
   std::size_t queuedBytes() const { return Queue.size() + Writing.size(); }
 
 private:
