Let a ledger that leaves answer the records it has received

What callers saw: when a ledger left at the limit of its planned stop, while another one was away, records that it and the last ledger had on disk were told as not stored. Their turns were refused (503 not_enough_copies) or broken off at the end, though nothing was missing.

Cause: the process exited in the step after the decision. Replies that waited for the disk thread were never written, and the kernel closed the links with calls unread, which resets the connection.

Clients read the replies, then the end, and send what is left to the others, as they did at a reset. What is left is logged (ledger.links_ended). Meanwhile the ledger answers no pings, so nobody relies on it.

--- a/packages/net/include/tamarack/net/Link.h
+++ b/packages/net/include/tamarack/net/Link.h
@@ -72,6 +72,19 @@
                               std::string Name, LinkBody Body,
                               TimePoint Deadline);
 
+/// What was left when a LinkServer ended its links.
+struct LinkEnd {
+  /// The connections at the beginning, and those that their peers had not
+  /// closed by the deadline.
+  std::size_t Connections = 0;
+  std::size_t CutConnections = 0;
+  /// Handled calls that were not answered by the deadline.
+  std::size_t UnansweredCalls = 0;
+  /// Calls that were read and not handled.
+  std::size_t DiscardedCalls = 0;
+  friend bool operator==(const LinkEnd &, const LinkEnd &) = default;
+};
+
 /// Answers the calls of any number of LinkClients.
 class LinkServer {
 public:
@@ -88,7 +101,12 @@
   /// Accepts connections on \p Address, "IP:PORT". Fails with
   /// InvalidConfiguration.
   Expected<void> listen(const std::string &Address);
-  /// Closes the listener and all connections.
+  /// Ends all connections such that no reply is lost: handles no further call,
+  /// answers those that it has handled, ends its own direction, and reads on
+  /// until the peer closes, at most until \p Deadline. Clients send what is
+  /// unanswered then again, here or elsewhere.
+  Task<LinkEnd> endLinks(TimePoint Deadline);
+  /// Closes the listener and all connections at once.
   void close();
 
 private:
--- a/packages/net/src/LinkFrame.cpp
+++ b/packages/net/src/LinkFrame.cpp
@@ -110,7 +110,7 @@
 }
 
 void LinkConnection::send(std::string Frame) {
-  if (Closed)
+  if (Closed || OutputEnds)
     return;
   Queue += Frame;
   if (WriterRuns)
@@ -132,6 +132,15 @@
       close();
   }
   WriterRuns = false;
+  if (OutputEnds)
+    endOutput();
+}
+
+void LinkConnection::endOutput() {
+  OutputEnds = true;
+  ErrorCode Ignored; // The peer has closed the connection before.
+  if (!WriterRuns && !Closed)
+    Socket.shutdown(Tcp::socket::shutdown_send, Ignored);
 }
 
 bool LinkConnection::hasUnreadBytes() const {
--- a/packages/net/src/LinkFrame.h
+++ b/packages/net/src/LinkFrame.h
@@ -41,6 +41,8 @@
   void start(FrameHandler OnFrame, LossHandler OnLost);
   /// Queues an encoded frame. Does nothing once the connection is closed.
   void send(std::string Frame);
+  /// Ends the own direction once all queued frames are written, and reads on.
+  void endOutput();
   void close();
   /// When the last byte was received, initially when this object was created.
   TimePoint lastReceivedAt() const { return LastReceivedAt; }
@@ -62,6 +64,7 @@
   LossHandler OnLost;
   TimePoint LastReceivedAt = steadyNow();
   bool WriterRuns = false;
+  bool OutputEnds = false;
   bool Closed = false;
 };
 
--- a/packages/quorum/include/tamarack/quorum/LedgerNode.h
+++ b/packages/quorum/include/tamarack/quorum/LedgerNode.h
@@ -102,8 +102,10 @@
   /// them. If false, call it again.
   Task<bool> retire();
   /// Waits until the other members make a quorum without this ledger, at most
-  /// until \p Deadline; serves meanwhile. Returns whether they do. Of members
-  /// that are stopped at the same time, one after the other is let go.
+  /// until \p Deadline; serves meanwhile. Then ends all links, which takes half
+  /// a second at most and loses no reply. Returns whether the others make a
+  /// quorum. Of members that are stopped at the same time, one after the other
+  /// is let go.
   Task<bool> prepareStop(TimePoint Deadline);
   LedgerStatus status() const;
   /// Calls \p Name of the ledger at \p Address.
--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -34,6 +34,11 @@
 /// which may be in another region, and how often it asks them.
 constexpr Duration StopPingTimeout = std::chrono::milliseconds(400);
 constexpr Duration StopPollInterval = std::chrono::milliseconds(50);
+/// How long the links of a ledger that leaves may take to end: a process may
+/// stand still for 300 ms, and the way to another region and back takes 80 ms.
+constexpr Duration LinkEndTimeout = std::chrono::milliseconds(500);
+/// The same as a part of the time that prepareStop() may wait.
+constexpr int LinkEndDivisor = 2;
 /// Turns fetched in one call: about 0.2 MB of text, which a shared link of
 /// 60 Mbit/s transfers well within CallTimeout. Several calls are in flight at
 /// a time because each of them waits in the queue of a busy source.
@@ -393,14 +398,23 @@
 Task<bool> LedgerNode::prepareStop(TimePoint Deadline) {
   const auto Self = Inner;
   Self->Stopping = true;
-  while (true) {
-    const bool Done = co_await Self->isDispensable();
-    if (Done || steadyNow() >= Deadline) {
-      Self->StopPrepared = true;
-      co_return Done;
-    }
+  const Duration EndLimit =
+      std::min(LinkEndTimeout, (Deadline - steadyNow()) / LinkEndDivisor);
+  bool Dispensable = co_await Self->isDispensable();
+  while (!Dispensable && steadyNow() < Deadline) {
     co_await pause(Self->Io, StopPollInterval);
+    Dispensable = co_await Self->isDispensable();
   }
+  Self->StopPrepared = true;
+  const TimePoint EndBegun = steadyNow();
+  const LinkEnd Ended = co_await Self->Server->endLinks(EndBegun + EndLimit);
+  LogLine("ledger.links_ended")
+      .with("took_ms", steadyNow() - EndBegun)
+      .with("connections", Ended.Connections)
+      .with("cut", Ended.CutConnections)
+      .with("unanswered", Ended.UnansweredCalls)
+      .with("discarded", Ended.DiscardedCalls);
+  co_return Dispensable;
 }
 
 /// A ledger that is about to stop relies on the answer. So this one must not
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -649,6 +649,46 @@
     }
 }
 
+/// Guards against records that are on enough disks and reported as not stored,
+/// because the ledger that leaves takes its replies with it: turns are refused
+/// or broken off for them while no other ledger makes a quorum.
+BOOST_FIXTURE_TEST_CASE(AfterItsRepliesToTheRecordsThatItHasReceived,
+                        QuorumFixture) {
+  constexpr std::uint64_t RecordsInFlight = 20;
+  startAll();
+  tellView();
+  useCurrentView();
+  stop(1);
+  storeReservations();
+  Io.run_for(100ms);
+  const std::uint64_t ReceivedBefore = Nodes[2]->status().RecordsStored;
+  const PlannedStop Leaving(*this, 2, 300ms);
+  std::uint64_t Sent = 0;
+  const auto Stored = std::make_shared<std::uint64_t>(0);
+  while (!Leaving.isDone()) {
+    while (Sent - *Stored < RecordsInFlight)
+      asio::co_spawn(Io,
+                     Client.storeRecord({{ProgramId("p"),
+                                          TurnId("t" + std::to_string(++Sent)),
+                                          {10, false},
+                                          nullptr,
+                                          {}},
+                                         {}},
+                                        steadyNow() + 2s),
+                     [Stored](const std::exception_ptr &,
+                              const Expected<QuorumProgramState> &Result) {
+                       *Stored += Result ? 1 : 0;
+                     });
+    Io.run_one_for(1ms);
+  }
+  const std::uint64_t Received =
+      Nodes[2]->status().RecordsStored - ReceivedBefore;
+  stop(2);
+  Io.run_for(1s);
+  BOOST_TEST(Received > 0U);
+  BOOST_TEST(*Stored == Received);
+}
+
 BOOST_FIXTURE_TEST_CASE(AtTheLimitIfTheOthersStayAway, QuorumFixture) {
   startAll();
   tellView();
