Let a ledger stop by recent answers of the others only

What callers saw: turns that could not be stored (503 not_enough_copies) while two ledgers were away at the same time by planned stops or a kill, although they go one after the other.

Cause: a ledger that is about to stop asks whether the others serve, and acted on their answers whenever it read them. A process that stands still between question and reading acts on what the others said before; one of them may have gone since.

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -465,6 +465,14 @@
   }
   while (State->othersLeft() < Needed && State->Answered < State->Asked)
     co_await pause(Io, StopPollInterval / 10);
+  const TimePoint Now = steadyNow();
+  if (Now >= Until && State->othersLeft() >= Needed) {
+    // The others may have gone since they answered.
+    LogLine("ledger.stood_still")
+        .with("discarded", "answers of other ledgers about a stop")
+        .with("took_ms", Now - Until + StopPingTimeout);
+    co_return false;
+  }
   co_return State->othersLeft() >= Needed;
 }
 
