Let a ledger on standby that stood still replace nobody

What callers saw: nothing by itself. A member that was well lost its place to a ledger on standby; if another member was away then, turns could not be stored until the standby ledger had fetched all records.

Cause: a ledger on standby takes a member that answers no ping within 1.5 s and has no connection for away. If its own process stands still while the connection opens, the time is up when it runs again, and it concludes from answers that it had no chance to get.

Evidence: ALedgerThatStoodStill/DoesNotReplaceMembersWhoseAnswersItCouldNotRead, 24 ledgers that stand still for 2 s, each at another moment of its start.

Fix: a round of pings in which the ledger itself did not run for a third of the limit proves nothing but folders that were seen to be others. It is logged (ledger.stood_still), and the members are asked again.

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -23,6 +23,10 @@
 /// and busy, and replacing it would add the copying of all records to its load;
 /// it may also be frozen, so it is replaced after this time.
 constexpr Duration SuspectConnectedTimeout = std::chrono::seconds(8);
+/// How often the answers to pings are looked at. If this ledger itself does not
+/// run for MaxStandstill meanwhile, a missing answer says nothing.
+constexpr Duration PingCheckInterval = std::chrono::milliseconds(20);
+constexpr Duration MaxStandstill = SuspectTimeout / 3;
 /// The timeout of a call between members. Listing or fetching the records of a
 /// busy minute takes less.
 constexpr Duration CallTimeout = std::chrono::milliseconds(2500);
@@ -135,6 +139,8 @@
   };
   const auto State = std::make_shared<PingState>();
   const std::vector<RecordHolder> Asked = listedLedgers(CurrentView);
+  TimePoint LastCheck = steadyNow();
+  Duration LongestStandstill(0);
   for (const RecordHolder &Ledger : Asked) {
     State->Unanswered.insert(Ledger.Folder);
     linkTo(Ledger.Address)
@@ -152,8 +158,18 @@
                });
   }
   const TimePoint Until = steadyNow() + SuspectTimeout;
-  while (!State->Unanswered.empty() && steadyNow() < Until)
-    co_await pause(Io, std::chrono::milliseconds(20));
+  while (!State->Unanswered.empty() && steadyNow() < Until) {
+    co_await pause(Io, PingCheckInterval);
+    const TimePoint CheckedAt = steadyNow();
+    LongestStandstill = std::max(LongestStandstill, CheckedAt - LastCheck);
+    LastCheck = CheckedAt;
+  }
+  if (!State->Unanswered.empty() && LongestStandstill > MaxStandstill) {
+    LogLine("ledger.stood_still")
+        .with("discarded", "pings without an answer")
+        .with("took_ms", LongestStandstill);
+    co_return State->Lost;
+  }
   const TimePoint Now = steadyNow();
   for (const RecordHolder &Ledger : Asked) {
     const bool IsUnresponsive = State->Unanswered.count(Ledger.Folder) > 0 &&
--- a/packages/quorum/test/LedgerStandstillTest.cpp
+++ b/packages/quorum/test/LedgerStandstillTest.cpp
@@ -69,4 +69,27 @@
   BOOST_TEST(*Left);
 }
 
+/// Guards against a member that is well and is replaced, because the ledger on
+/// standby that pinged it stood still until its ping had timed out. Another
+/// member that is away at that time then costs service.
+BOOST_FIXTURE_TEST_CASE(DoesNotReplaceMembersWhoseAnswersItCouldNotRead,
+                        QuorumFixture) {
+  constexpr int FirstStandby = 10;
+  constexpr int Moments = 24;
+  startAll();
+  tellView();
+  const View Before = Views.Current;
+  std::vector<std::unique_ptr<SeparateLedger>> Standby;
+  for (int Handlers = 1; Handlers <= Moments; ++Handlers) {
+    Standby.push_back(std::make_unique<SeparateLedger>(
+        *this, FirstStandby + Handlers, /*FirstStart=*/false));
+    // Each stands still at another moment of its start.
+    for (int Number = 0; Number < Handlers; ++Number)
+      Standby.back()->Io.run_one_for(1ms);
+  }
+  Io.run_for(2s);
+  runAll(*this, Standby, never, 2s);
+  BOOST_TEST((Views.Current == Before));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
