--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -23,6 +23,10 @@
 /// and busy, and replacing it would add the copying of all records to its load;
 /// it may also be frozen, so it is replaced after this time.
 constexpr Duration SuspectConnectedTimeout = std::chrono::seconds(8);
+/// How often the answers to pings are looked at. If this ledger itself does not
+/// run for MaxStandstill meanwhile, a missing answer says nothing.
+constexpr Duration PingCheckInterval = std::chrono::milliseconds(20);
+constexpr Duration MaxStandstill = SuspectTimeout / 3;
 /// The timeout of a call between members. Listing or fetching the records of a
 /// busy minute takes less.
 constexpr Duration CallTimeout = std::chrono::milliseconds(2500);
@@ -34,6 +38,11 @@
 /// which may be in another region, and how often it asks them.
 constexpr Duration StopPingTimeout = std::chrono::milliseconds(400);
 constexpr Duration StopPollInterval = std::chrono::milliseconds(50);
+/// How long the links of a ledger that leaves may take to end: a process may
+/// stand still for 300 ms, and the way to another region and back takes 80 ms.
+constexpr Duration LinkEndTimeout = std::chrono::milliseconds(500);
+/// The same as a part of the time that prepareStop() may wait.
+constexpr int LinkEndDivisor = 2;
 /// Turns fetched in one call: about 0.2 MB of text, which a shared link of
 /// 60 Mbit/s transfers well within CallTimeout. Several calls are in flight at
 /// a time because each of them waits in the queue of a busy source.
@@ -130,6 +139,8 @@
   };
   const auto State = std::make_shared<PingState>();
   const std::vector<RecordHolder> Asked = listedLedgers(CurrentView);
+  TimePoint LastCheck = steadyNow();
+  Duration LongestStandstill(0);
   for (const RecordHolder &Ledger : Asked) {
     State->Unanswered.insert(Ledger.Folder);
     linkTo(Ledger.Address)
@@ -147,8 +158,18 @@
                });
   }
   const TimePoint Until = steadyNow() + SuspectTimeout;
-  while (!State->Unanswered.empty() && steadyNow() < Until)
-    co_await pause(Io, std::chrono::milliseconds(20));
+  while (!State->Unanswered.empty() && steadyNow() < Until) {
+    co_await pause(Io, PingCheckInterval);
+    const TimePoint CheckedAt = steadyNow();
+    LongestStandstill = std::max(LongestStandstill, CheckedAt - LastCheck);
+    LastCheck = CheckedAt;
+  }
+  if (!State->Unanswered.empty() && LongestStandstill > MaxStandstill) {
+    LogLine("ledger.stood_still")
+        .with("discarded", "pings without an answer")
+        .with("took_ms", LongestStandstill);
+    co_return State->Lost;
+  }
   const TimePoint Now = steadyNow();
   for (const RecordHolder &Ledger : Asked) {
     const bool IsUnresponsive = State->Unanswered.count(Ledger.Folder) > 0 &&
@@ -393,14 +414,23 @@
 Task<bool> LedgerNode::prepareStop(TimePoint Deadline) {
   const auto Self = Inner;
   Self->Stopping = true;
-  while (true) {
-    const bool Done = co_await Self->isDispensable();
-    if (Done || steadyNow() >= Deadline) {
-      Self->StopPrepared = true;
-      co_return Done;
-    }
+  const Duration EndLimit =
+      std::min(LinkEndTimeout, (Deadline - steadyNow()) / LinkEndDivisor);
+  bool Dispensable = co_await Self->isDispensable();
+  while (!Dispensable && steadyNow() < Deadline) {
     co_await pause(Self->Io, StopPollInterval);
+    Dispensable = co_await Self->isDispensable();
   }
+  Self->StopPrepared = true;
+  const TimePoint EndBegun = steadyNow();
+  const LinkEnd Ended = co_await Self->Server->endLinks(EndBegun + EndLimit);
+  LogLine("ledger.links_ended")
+      .with("took_ms", steadyNow() - EndBegun)
+      .with("connections", Ended.Connections)
+      .with("cut", Ended.CutConnections)
+      .with("unanswered", Ended.UnansweredCalls)
+      .with("discarded", Ended.DiscardedCalls);
+  co_return Dispensable;
 }
 
 /// A ledger that is about to stop relies on the answer. So this one must not
@@ -451,6 +481,14 @@
   }
   while (State->othersLeft() < Needed && State->Answered < State->Asked)
     co_await pause(Io, StopPollInterval / 10);
+  const TimePoint Now = steadyNow();
+  if (Now >= Until && State->othersLeft() >= Needed) {
+    // The others may have gone since they answered.
+    LogLine("ledger.stood_still")
+        .with("discarded", "answers of other ledgers about a stop")
+        .with("took_ms", Now - Until + StopPingTimeout);
+    co_return false;
+  }
   co_return State->othersLeft() >= Needed;
 }
 
