Ask whether an endpoint has ended a connection in the step of the write

Callers saw a 502 for requests that may not be repeated, and for turns, of which no byte had been sent: the endpoint had closed the idle connection that was chosen for them.

Cause: ConnectionPool::acquire() asked the kernel, and the request was written by a coroutine that starts in a later round of the loop. Other handlers, and the time for which the process stands still, came between. The class is that of the connections of callers: a decision outlives what it was based on.

HttpCall::send() now asks, compares the time with the idle timeout, and writes what the kernel takes in one step. If the connection has ended, nothing was sent, and the request goes over another connection. entry.connection_ended and the retry reason connection_ended tell it.

The fixture of the relay's tests starts requests in the background, as that of planned stops did, and closes connections of endpoints.

--- a/packages/net/include/tamarack/net/HttpCall.h
+++ b/packages/net/include/tamarack/net/HttpCall.h
@@ -2,10 +2,15 @@
 ///
 ///   ConnectionPool Pool(Io, Limits);
 ///   auto Call = co_await HttpCall::open(Pool, "10.0.0.1:8080");
-///   (*Call)->send(encodeRequest(Request));
+///   if (!(*Call)->send(encodeRequest(Request)))
+///     ... // The server has ended the connection, and nothing was sent.
 ///   Expected<HttpHead> Head = co_await (*Call)->readHead();
 ///   while (auto Piece = co_await (*Call)->readPiece()) ...
 ///
+/// A server may end an idle connection at any time. Whether it has is asked in
+/// the step in which the request is written, since the process may stand still
+/// after it has taken the connection.
+///
 /// The request is written while the response is read, so that a response which
 /// arrives before the whole request was written is not missed. A connection
 /// returns to the pool only if the request was written completely, the response
@@ -93,9 +98,12 @@
   HttpCall(const HttpCall &) = delete;
   HttpCall &operator=(const HttpCall &) = delete;
 
-  /// Writes the encoded request \p Text in the background. \p HeadOnly says
-  /// that the response has no body, as for HEAD.
-  void send(std::string Text, bool HeadOnly = false);
+  /// Writes the encoded request \p Text: at once what the kernel takes, and the
+  /// rest in the background. \p HeadOnly says that the response has no body, as
+  /// for HEAD. Returns false if the connection can no longer be used, as the
+  /// server has ended it or its idle timeout has passed; then no byte was
+  /// written, and the call is over.
+  bool send(std::string Text, bool HeadOnly = false);
   /// Reads the status and fields of the response, and skips interim responses
   /// before it. Fails with EndpointFailed.
   Task<Expected<HttpHead>> readHead();
--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -41,6 +41,11 @@
   return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// Whether a request may be sent on the connection at \p Now.
+bool isUsable(HttpConnection &Connection, TimePoint Now) {
+  return Connection.IdleDeadline > Now && isIdle(Connection);
+}
+
 /// Returns how long the server keeps an idle connection, read from its
 /// Keep-Alive field such as "timeout=5", or \p Default if it says nothing.
 Duration idleTimeoutFrom(const HttpFields &Fields, Duration Default) {
@@ -81,7 +86,7 @@
     Connections.pop_back();
     const bool MayRepeatRefusal =
         !RequestId.empty() && Next->RefusedIds.count(RequestId) > 0;
-    if (Next->IdleDeadline > steadyNow() && isIdle(*Next) && !MayRepeatRefusal)
+    if (!MayRepeatRefusal && isUsable(*Next, steadyNow()))
       co_return Next;
   }
   const Expected<Tcp::endpoint> Peer = parseAddress(Address);
@@ -138,15 +143,32 @@
   std::optional<http::response_parser<http::string_body>> Reader;
   bool HeadOnly = false;
   std::string Writing;
+  std::size_t WrittenBytes = 0;
   bool Written = false;
   bool Aborted = false;
   bool Failed = false;
   bool EndedByServer = false;
   Duration IdleTimeout{0};
 
-  Task<void> write() {
+  /// Writes what the kernel takes of the request. Returns false if no byte can
+  /// be written, since the connection has ended.
+  bool writeAtOnce() {
+    if (!isUsable(*Connection, steadyNow()))
+      return false;
+    const ssize_t Count =
+        ::send(Connection->Socket.native_handle(), Writing.data(),
+               Writing.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (Count < 0)
+      return errno == EAGAIN || errno == EWOULDBLOCK;
+    WrittenBytes = static_cast<std::size_t>(Count);
+    Written = WrittenBytes == Writing.size();
+    return true;
+  }
+
+  Task<void> writeRest() {
     ErrorCode Failure;
-    co_await asio::async_write(Connection->Socket, asio::buffer(Writing),
+    co_await asio::async_write(Connection->Socket,
+                               asio::buffer(Writing) + WrittenBytes,
                                storeErrorIn(Failure));
     // After a failed write, readHead() may still get a response; if not, it
     // reports the failure.
@@ -191,13 +213,22 @@
       new HttpCall(std::make_shared<Impl>(Pool, std::move(*Connection))));
 }
 
-void HttpCall::send(std::string Text, bool HeadOnly) {
+bool HttpCall::send(std::string Text, bool HeadOnly) {
   Inner->Writing = std::move(Text);
   Inner->HeadOnly = HeadOnly;
   Inner->Reader->skip(HeadOnly);
+  if (!Inner->writeAtOnce()) {
+    Inner->abort();
+    return false;
+  }
+  if (Inner->Written) {
+    Inner->Writing = {};
+    return true;
+  }
   spawn(Inner->Pool.loop(), [](std::shared_ptr<Impl> Self) -> Task<void> {
-    co_await Self->write();
+    co_await Self->writeRest();
   }(Inner));
+  return true;
 }
 
 Task<Expected<HttpHead>> HttpCall::readHead() {
@@ -311,10 +342,22 @@
 
 Task<Expected<HttpResponse>> fetch(ConnectionPool &Pool, std::string Address,
                                    HttpRequest Request, Duration Timeout) {
-  auto Call = co_await HttpCall::open(Pool, Address);
-  if (!Call)
-    co_return tl::unexpected(Call.error());
-  const std::shared_ptr<HttpCall> Open = *Call;
+  Request.Fields.set("Host", Address);
+  Request.Fields.set("Content-Length", std::to_string(Request.Body.size()));
+  const std::string Text = encodeRequest(Request);
+  std::shared_ptr<HttpCall> Open;
+  while (!Open) {
+    auto Call = co_await HttpCall::open(Pool, Address);
+    if (!Call)
+      co_return tl::unexpected(Call.error());
+    const bool Reused = (*Call)->reused();
+    if ((*Call)->send(Text))
+      Open = std::move(*Call);
+    else if (!Reused)
+      co_return refuse(ErrorKind::LinkLost,
+                       "the server has ended the new connection",
+                       NotRun::Proved);
+  }
   asio::steady_timer Timer(Pool.loop(), Timeout);
   Timer.async_wait(
       [Weak = std::weak_ptr<HttpCall>(Open)](const ErrorCode &Cancelled) {
@@ -322,9 +365,6 @@
         if (!Cancelled && Self)
           Self->abort();
       });
-  Request.Fields.set("Host", Address);
-  Request.Fields.set("Content-Length", std::to_string(Request.Body.size()));
-  Open->send(encodeRequest(Request));
   Expected<HttpHead> Head = co_await Open->readHead();
   if (!Head)
     co_return tl::unexpected(Head.error());
--- a/packages/relay/include/tamarack/relay/RelayMetrics.h
+++ b/packages/relay/include/tamarack/relay/RelayMetrics.h
@@ -19,6 +19,8 @@
 enum class RelayRetryReason {
   /// No connection could be opened.
   NoConnection,
+  /// The endpoint had ended the connection before a byte was written.
+  ConnectionEnded,
   /// The endpoint rejected the request because it is full.
   EndpointFull,
   /// Another instance answered at the endpoint's address.
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -80,33 +80,45 @@
 
 Task<std::shared_ptr<HttpCall>>
 Relay::Impl::sendAttempt(RequestContext &Context, EndpointEntry To) {
-  const Expected<std::shared_ptr<HttpCall>> Call =
-      co_await HttpCall::open(Pool, To.Address, Context.Metadata.RequestId);
-  if (!Call) {
-    Endpoints.onFailure(To.Endpoint, steadyNow());
-    Metrics.countRetry(RelayRetryReason::NoConnection);
-    LogLine("entry.no_connection")
-        .with("request", Context.Metadata.RequestId)
-        .with("endpoint", To.Endpoint)
-        .with("reason", Call.error().Message);
-    co_return nullptr;
-  }
-  if (Context.isCancelled() || isSendingOver())
-    co_return nullptr;
-  if (isDecisionOutdated(Context)) {
-    LogLine("entry.decision_outdated")
+  bool WasReused = true;
+  while (WasReused) {
+    const Expected<std::shared_ptr<HttpCall>> Call =
+        co_await HttpCall::open(Pool, To.Address, Context.Metadata.RequestId);
+    if (!Call) {
+      Endpoints.onFailure(To.Endpoint, steadyNow());
+      Metrics.countRetry(RelayRetryReason::NoConnection);
+      LogLine("entry.no_connection")
+          .with("request", Context.Metadata.RequestId)
+          .with("endpoint", To.Endpoint)
+          .with("reason", Call.error().Message);
+      co_return nullptr;
+    }
+    if (Context.isCancelled() || isSendingOver())
+      co_return nullptr;
+    if (isDecisionOutdated(Context)) {
+      LogLine("entry.decision_outdated")
+          .with("request", Context.Metadata.RequestId)
+          .with("endpoint", To.Endpoint)
+          .with("version", To.Version)
+          .with("decided_age_ms", Context.DecidedListAge)
+          .with("list_age_ms", formatMillis(catalogAge()));
+      co_return nullptr;
+    }
+    WasReused = (*Call)->reused();
+    if ((*Call)->send(encodeRequest(buildAttemptRequest(Context, To)),
+                      Context.Caller.request().Method == "HEAD")) {
+      Context.CurrentCall = *Call;
+      ++Context.PossibleRuns;
+      co_return *Call;
+    }
+    Metrics.countRetry(RelayRetryReason::ConnectionEnded);
+    LogLine("entry.connection_ended")
         .with("request", Context.Metadata.RequestId)
         .with("endpoint", To.Endpoint)
-        .with("version", To.Version)
-        .with("decided_age_ms", Context.DecidedListAge)
-        .with("list_age_ms", formatMillis(catalogAge()));
-    co_return nullptr;
+        .with("reused", WasReused ? 1 : 0);
   }
-  Context.CurrentCall = *Call;
-  (*Call)->send(encodeRequest(buildAttemptRequest(Context, To)),
-                Context.Caller.request().Method == "HEAD");
-  ++Context.PossibleRuns;
-  co_return *Call;
+  Endpoints.onFailure(To.Endpoint, steadyNow());
+  co_return nullptr;
 }
 
 Task<Expected<HttpHead>> Relay::Impl::readMatchingHead(RequestContext &Context,
--- a/packages/relay/src/RelayMetrics.cpp
+++ b/packages/relay/src/RelayMetrics.cpp
@@ -29,6 +29,8 @@
   switch (Reason) {
   case RelayRetryReason::NoConnection:
     return "no_connection";
+  case RelayRetryReason::ConnectionEnded:
+    return "connection_ended";
   case RelayRetryReason::EndpointFull:
     return "endpoint_full";
   case RelayRetryReason::OtherInstance:
--- a/packages/relay/test/GracefulStopTest.cpp
+++ b/packages/relay/test/GracefulStopTest.cpp
@@ -68,14 +68,6 @@
          std::string(BodyBytes, 'b');
 }
 
-/// What a caller received.
-struct CallerResult {
-  /// Set once the exchange has ended. The status is 0 if the response is
-  /// incomplete.
-  std::optional<HttpResponse> Response;
-  TimePoint EndedAt;
-};
-
 /// An entry that ends its connections when its stop has ended, as an exit does.
 struct StopFixture : RelayFixture {
   void begin(Duration Grace) {
@@ -95,24 +87,6 @@
   void standStillUntil(Duration SinceBegin) {
     std::this_thread::sleep_until(BegunAt + SinceBegin);
   }
-  /// Sends a request as a caller that goes on while the test does.
-  void startRequest(const std::string &Target, std::vector<HttpField> Fields) {
-    HttpRequest Request{"POST", Target, {}, "body"};
-    Request.Fields.All = std::move(Fields);
-    Results.push_back(std::make_shared<CallerResult>());
-    asio::co_spawn(Io, fetchFromHost("h", std::move(Request)),
-                   [Result = Results.back()](const std::exception_ptr &,
-                                             Expected<HttpResponse> Response) {
-                     Result->Response =
-                         Response ? std::move(*Response) : HttpResponse{};
-                     Result->EndedAt = steadyNow();
-                   });
-  }
-  void untilAnswered() {
-    for (const auto &Result : Results)
-      until([&] { return Result->Response.has_value(); });
-  }
-
   void untilEnded() {
     until([this] { return Ends > 0; });
   }
@@ -122,7 +96,6 @@
   }
 
   std::unique_ptr<GracefulStop> Stop;
-  std::vector<std::shared_ptr<CallerResult>> Results;
   TimePoint BegunAt;
   Duration Took{0};
   int Ends = 0;
--- a/packages/relay/test/RelayFixture.h
+++ b/packages/relay/test/RelayFixture.h
@@ -10,6 +10,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <deque>
+#include <set>
 
 namespace tamarack::testing {
 
@@ -135,6 +136,12 @@
     spawn(Io, acceptConnections(*this, Listener));
   }
   bool isCrashed() const { return !Listener->is_open(); }
+  /// Closes all connections, as an endpoint does with idle ones.
+  void closeConnections() {
+    ErrorCode Ignored; // A socket is closed even if this fails.
+    for (Tcp::socket *Socket : *OpenSockets)
+      Socket->close(Ignored);
+  }
 
   std::deque<ScriptedResponse> Responses;
   /// The raw bytes of each request.
@@ -145,6 +152,22 @@
   std::size_t EndlessBytesSent = 0;
 
 private:
+  using SocketSet = std::set<Tcp::socket *>;
+
+  /// Lists a socket while its coroutine exists, which may outlive the endpoint.
+  struct Listing {
+    Listing(std::shared_ptr<SocketSet> In, Tcp::socket &Socket)
+        : In(std::move(In)), Socket(Socket) {
+      this->In->insert(&Socket);
+    }
+    ~Listing() { In->erase(&Socket); }
+    Listing(const Listing &) = delete;
+    Listing &operator=(const Listing &) = delete;
+
+    const std::shared_ptr<SocketSet> In;
+    Tcp::socket &Socket;
+  };
+
   void closePort() {
     ErrorCode Ignored; // The acceptor is closed even if this fails.
     Listener->close(Ignored);
@@ -175,6 +198,7 @@
 
   static Task<void> serveConnection(ScriptedEndpoint &Self,
                                     Tcp::socket Socket) {
+    const Listing Listed(Self.OpenSockets, Socket);
     std::string Text;
     char Buffer[65536];
     Socket.set_option(Tcp::no_delay(true));
@@ -184,6 +208,8 @@
       if (Length == 0 || Text.size() < Length) {
         const std::size_t Count = co_await Socket.async_read_some(
             asio::buffer(Buffer), storeErrorIn(Failure));
+        if (Failure == asio::error::operation_aborted)
+          co_return;
         if (Failure) {
           ++Self.ClosedConnections;
           co_return;
@@ -243,11 +269,20 @@
   Loop &Io;
   const int Port;
   std::shared_ptr<Tcp::acceptor> Listener;
+  const std::shared_ptr<SocketSet> OpenSockets = std::make_shared<SocketSet>();
 };
 
 constexpr int EntryPort = 19790;
 constexpr int FirstEndpointPort = 19791;
 
+/// What a caller received.
+struct CallerResult {
+  /// Set once the exchange has ended. The status is 0 if the response is
+  /// incomplete.
+  std::optional<HttpResponse> Response;
+  TimePoint EndedAt;
+};
+
 struct RelayFixture : QuorumFixture {
   RelayFixture() {
     startAll();
@@ -353,6 +388,23 @@
       Result.Body += **Piece;
     }
   }
+  /// Sends a request as a caller that goes on while the test does.
+  void startRequest(const std::string &Target, std::vector<HttpField> Fields) {
+    HttpRequest Request{"POST", Target, {}, "body"};
+    Request.Fields.All = std::move(Fields);
+    Results.push_back(std::make_shared<CallerResult>());
+    asio::co_spawn(Io, fetchFromHost("h", std::move(Request)),
+                   [Result = Results.back()](const std::exception_ptr &,
+                                             Expected<HttpResponse> Response) {
+                     Result->Response =
+                         Response ? std::move(*Response) : HttpResponse{};
+                     Result->EndedAt = steadyNow();
+                   });
+  }
+  void untilAnswered() {
+    for (const auto &Result : Results)
+      until([&] { return Result->Response.has_value(); });
+  }
   /// Sends a turn of the program "p" with at most 100 tokens.
   HttpResponse sendTurn(const std::string &Id, const std::string &Budget,
                         const std::string &Previous = "",
@@ -385,18 +437,24 @@
     ++CatalogConfirmations;
     if (OnConfirmCatalog)
       OnConfirmCatalog();
-    co_return;
+    if (StoreDelay > Duration(0)) {
+      co_await pause(Io, StoreDelay);
+    }
   }
 
   Task<void> listFromStore() {
     ++EndpointListings;
     if (OnListEndpoints)
       OnListEndpoints();
-    co_return;
+    if (StoreDelay > Duration(0)) {
+      co_await pause(Io, StoreDelay);
+    }
   }
 
   std::function<void()> OnListEndpoints;
   int EndpointListings = 0;
+  /// How long the store takes to answer.
+  Duration StoreDelay{0};
   /// How old the configuration is; empty if it was never confirmed.
   std::optional<Duration> CatalogAge = Duration(0);
   /// Set if the age changes during a request.
@@ -405,6 +463,8 @@
   std::string EntryAddress = "127.0.0.1:" + std::to_string(EntryPort);
   std::function<void()> OnConfirmCatalog;
   int CatalogConfirmations = 0;
+  /// Of the requests that startRequest() sent.
+  std::vector<std::shared_ptr<CallerResult>> Results;
   TestDialect Wire;
   ConnectionPool Pool{Io, {}};
   ConnectionPool CallerPool{Io, {}};
