End the waits that began before a planned stop in time for its grace

Callers of turns saw their connection end without an answer when an entry with a grace of 0.3 or 0.6 s stopped while the turn waited for silent ledgers.

Cause: the limit of a wait was worked out when the wait began. One of 1 s for ledgers, or 0.4 s for the store or a connection, that had begun before the stop outlasted the grace; the deadline timer has no call to abort then. The class: a decision outlives what it was based on.

Relay::Impl::waitUntil() gives such a wait a limit that the stop brings forward, and wakes it; what it waited for goes on without the request. A turn that waits for ledgers after its last event ends at its capped deadline too. Requests are refused as not run, as at any wait that the stop ends.

Evidence: relay APlannedStopOfAnEntry/EndsWaitsThatBeganBeforeIt. Before, with silent ledgers: no answer (0 != 503) with 0.3 and 0.6 s, for reservations and for chains; with 0.3 s the waits for the configuration and for a connection ended after the grace. Records that silent ledgers do not store still hold up the exit, beyond a grace under 1.6 s; no request is cut by that, which the test checks.

--- a/packages/net/include/tamarack/net/HttpCall.h
+++ b/packages/net/include/tamarack/net/HttpCall.h
@@ -68,6 +68,9 @@
   /// Returns a connection to the pool, or closes it if the pool already holds
   /// MaxIdlePerServer connections to its server.
   void release(std::unique_ptr<internal::HttpConnection> Connection);
+  /// Whether there are idle connections to \p Address. The server may have
+  /// closed them.
+  bool hasIdle(const std::string &Address) const;
   /// Closes all idle connections to \p Address.
   void forget(const std::string &Address);
   /// Closes the connections whose idle timeout has passed at \p Now.
--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -109,6 +109,11 @@
     Connections.push_back(std::move(Connection));
 }
 
+bool ConnectionPool::hasIdle(const std::string &Address) const {
+  const auto It = Idle.find(Address);
+  return It != Idle.end() && !It->second.empty();
+}
+
 void ConnectionPool::forget(const std::string &Address) { Idle.erase(Address); }
 
 void ConnectionPool::expire(TimePoint Now) {
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -78,12 +78,24 @@
   return Result;
 }
 
+Task<Expected<std::shared_ptr<HttpCall>>>
+Relay::Impl::openCall(EndpointEntry To, std::string RequestId) {
+  const bool IsAtOnce = Pool.hasIdle(To.Address);
+  auto Opening = HttpCall::open(Pool, To.Address, std::move(RequestId));
+  if (IsAtOnce) {
+    co_return co_await std::move(Opening);
+  }
+  co_return co_await waitUntil(Stop.SendBy, std::move(Opening));
+}
+
 Task<std::shared_ptr<HttpCall>>
 Relay::Impl::sendAttempt(RequestContext &Context, EndpointEntry To) {
   bool WasReused = true;
   while (WasReused) {
     const Expected<std::shared_ptr<HttpCall>> Call =
-        co_await HttpCall::open(Pool, To.Address, Context.Metadata.RequestId);
+        co_await openCall(To, Context.Metadata.RequestId);
+    if (!Call && isSendingOver())
+      co_return nullptr;
     if (!Call) {
       Endpoints.onFailure(To.Endpoint, steadyNow());
       Metrics.countRetry(RelayRetryReason::NoConnection);
--- a/packages/relay/src/Origins.cpp
+++ b/packages/relay/src/Origins.cpp
@@ -75,9 +75,11 @@
                                                       EndpointEntry To) {
   setOrigin(Context, To);
   TurnUpdate Update{openRecord(Context), {}};
-  const Expected<QuorumProgramState> Stored = co_await Ledgers.storeRecord(
-      std::move(Update), waitLimit(Context.Deadline, LedgerTimeout),
-      StoreEffort::UntilCutOff);
+  auto Storing = Ledgers.storeRecord(std::move(Update),
+                                     waitLimit(Context.Deadline, LedgerTimeout),
+                                     StoreEffort::UntilCutOff);
+  const Expected<QuorumProgramState> Stored =
+      co_await waitUntil(Stop.SendBy, std::move(Storing));
   LogLine("entry.origin")
       .with("request", Context.Metadata.RequestId)
       .with("endpoint", To.Endpoint)
@@ -123,7 +125,7 @@
                             QuorumProgramState Program) {
   if (isListOutdated(Program.EndpointListAge)) {
     const TimePoint Deadline = waitLimit(Context.Deadline, StoreConfirmTimeout);
-    co_await Configuration.Confirm(Deadline);
+    co_await confirmCatalog(Deadline);
   }
   if (isListOutdated(Program.EndpointListAge)) {
     recordResumption(Context, Program.ResumedOrigin,
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -42,6 +42,11 @@
                     RetryAfterFull, MaxRetryAfter);
 }
 
+Task<Expected<void>> asExpected(Task<void> Work) {
+  co_await std::move(Work);
+  co_return Expected<void>();
+}
+
 /// Formats \p Span in seconds with three decimals.
 std::string formatSeconds(Duration Span) {
   const auto Millis =
@@ -93,6 +98,8 @@
   Inner->Stop = Plan;
   for (const auto &Context : Inner->Running)
     Inner->startDeadline(Context);
+  for (Signal *Wait : Inner->LimitedWaits)
+    Wait->raise();
 }
 
 bool Relay::isReady() const {
@@ -156,7 +163,7 @@
   if (!LacksCurrentRoute(Failure))
     co_return Failure;
   const TimePoint Deadline = waitLimit(TimePoint::max(), StoreConfirmTimeout);
-  co_await Configuration.Confirm(Deadline);
+  co_await confirmCatalog(Deadline);
   Failure = prepare(Context);
   if (LacksCurrentRoute(Failure))
     Failure = Error{ErrorKind::PlatformUnavailable,
@@ -166,6 +173,11 @@
   co_return Failure;
 }
 
+Task<void> Relay::Impl::confirmCatalog(TimePoint Deadline) {
+  auto Confirming = asExpected(Configuration.Confirm(Deadline));
+  co_await waitUntil(Stop.SendBy, std::move(Confirming));
+}
+
 Task<void> Relay::Impl::listEndpoints(TimePoint Deadline) {
   if (!ListEndpoints)
     co_return;
@@ -198,7 +210,8 @@
   if (!Endpoints.isListed(Context->Service)) {
     const TimePoint Deadline =
         waitLimit(Context->Deadline, StoreConfirmTimeout);
-    co_await listEndpoints(Deadline);
+    auto Listing = asExpected(listEndpoints(Deadline));
+    co_await waitUntil(Stop.SendBy, std::move(Listing));
   }
   Caller.onCallerDisconnect([Context] {
     Context->CallerDisconnected = true;
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -25,6 +25,9 @@
 /// within 50 ms, or 300 ms while it is slow.
 inline constexpr Duration StoreConfirmTimeout = std::chrono::milliseconds(400);
 
+/// The longest time for which a wait takes no look at its limit.
+inline constexpr Duration LimitCheckInterval = std::chrono::hours(1);
+
 /// The error of a request that is not run because the process is shutting down.
 inline Error leavingError() {
   return {
@@ -180,6 +183,8 @@
   StopPlan Stop;
   /// The requests whose deadline timers run.
   std::set<std::shared_ptr<internal::RequestContext>> Running;
+  /// The signals of the waits whose limit a stop may bring forward.
+  std::set<Signal *> LimitedWaits;
 
   // Relay.cpp: routes, deadlines and refusals.
   Task<void> serve(HttpExchange &Caller);
@@ -199,8 +204,16 @@
   TimePoint waitLimit(TimePoint Deadline, Duration Limit) const {
     return std::min({Deadline, steadyNow() + Limit, Stop.SendBy});
   }
+  /// Waits for \p Work until \p Limit, which a stop may bring forward
+  /// meanwhile. What takes longer goes on without the request, and fails for it
+  /// with NotEnoughCopies.
+  template <typename T>
+  Task<Expected<T>> waitUntil(const TimePoint &Limit, Task<Expected<T>> Work);
   /// The time since the configuration was confirmed; empty if it never was.
   std::optional<Duration> catalogAge() const;
+  /// Asks the store for the configuration, and returns when it is confirmed or
+  /// nothing may be sent any more.
+  Task<void> confirmCatalog(TimePoint Deadline);
   /// Lists the endpoints anew, unless that was done a moment ago.
   Task<void> listEndpoints(TimePoint Deadline);
   Task<void> refuseRequest(internal::RequestContext &Context, Error Failure);
@@ -254,6 +267,9 @@
   chooseNextEndpoint(internal::RequestContext &Context);
   HttpRequest buildAttemptRequest(const internal::RequestContext &Context,
                                   const EndpointEntry &To) const;
+  /// Takes an idle connection, or opens one until nothing may be sent any more.
+  Task<Expected<std::shared_ptr<HttpCall>>> openCall(EndpointEntry To,
+                                                     std::string RequestId);
   /// Opens a connection and sends the request. Returns null if no byte was
   /// sent.
   Task<std::shared_ptr<HttpCall>> sendAttempt(internal::RequestContext &Context,
@@ -334,6 +350,34 @@
                                     const internal::StreamState &State);
 };
 
+template <typename T>
+Task<Expected<T>> Relay::Impl::waitUntil(const TimePoint &Limit,
+                                         Task<Expected<T>> Work) {
+  struct WaitState {
+    explicit WaitState(Loop &Io) : Changed(Io) {}
+    Signal Changed;
+    std::optional<Expected<T>> Result;
+  };
+  const auto State = std::make_shared<WaitState>(Io);
+  spawn(Io,
+        [](std::shared_ptr<WaitState> State,
+           Task<Expected<T>> Work) -> Task<void> {
+          Expected<T> Result = co_await std::move(Work);
+          State->Result = std::move(Result);
+          State->Changed.raise();
+        }(State, std::move(Work)));
+  LimitedWaits.insert(&State->Changed);
+  while (!State->Result && steadyNow() < Limit) {
+    const TimePoint NextCheckAt = steadyNow() + internal::LimitCheckInterval;
+    co_await State->Changed.wait(std::min(Limit, NextCheckAt));
+  }
+  LimitedWaits.erase(&State->Changed);
+  if (State->Result)
+    co_return std::move(*State->Result);
+  co_return refuse(ErrorKind::NotEnoughCopies, "the process is shutting down",
+                   NotRun::Proved);
+}
+
 } // namespace tamarack
 
 #endif // TAMARACK_RELAY_RELAYIMPL_H
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -64,9 +64,11 @@
   TurnUpdate Reservation{openRecord(Context), {}};
   if (Resumes)
     Reservation.ResumedTurn = resumedTurn(Context.Metadata);
-  const Expected<QuorumProgramState> Program = co_await Ledgers.storeRecord(
+  auto Reserving = Ledgers.storeRecord(
       std::move(Reservation), waitLimit(Context.Deadline, LedgerTimeout),
       StoreEffort::UntilCutOff);
+  const Expected<QuorumProgramState> Program =
+      co_await waitUntil(Stop.SendBy, std::move(Reserving));
   Metrics.observeLedgerLatency(steadyNow() - SentAt);
   if (!Program) {
     if (Resumes)
@@ -104,8 +106,10 @@
   TurnChain Chain = Chains.chain(Context.Metadata.Previous);
   const bool Cached = !Chain.empty();
   if (!Cached) {
-    Expected<TurnChain> Stored = co_await Ledgers.chain(
-        Context.Metadata.Previous, waitLimit(Context.Deadline, LedgerTimeout));
+    auto Reading = Ledgers.chain(Context.Metadata.Previous,
+                                 waitLimit(Context.Deadline, LedgerTimeout));
+    Expected<TurnChain> Stored =
+        co_await waitUntil(Stop.SendBy, std::move(Reading));
     if (!Stored)
       co_return notRunError(Stored.error().Kind, Stored.error().Message);
     Chain = std::move(*Stored);
@@ -373,8 +377,9 @@
                            {},
                            Context.Origin},
                           Context.CurrentEndpoint};
+    auto Storing = Ledgers.storeRecord(std::move(Settlement), Context.Deadline);
     const Expected<QuorumProgramState> Stored =
-        co_await Ledgers.storeRecord(std::move(Settlement), Context.Deadline);
+        co_await waitUntil(Context.Deadline, std::move(Storing));
     Metrics.observeLedgerLatency(steadyNow() - SentAt);
     if (!Stored)
       co_return false;
--- a/packages/relay/test/GracefulStopTest.cpp
+++ b/packages/relay/test/GracefulStopTest.cpp
@@ -68,6 +68,27 @@
          std::string(BodyBytes, 'b');
 }
 
+/// A listener whose queue is full, so that the kernel answers no further
+/// connection.
+class FullListener {
+public:
+  FullListener(Loop &Io, int Port) : Listener(Io) {
+    const Tcp::endpoint Address =
+        *parseAddress("127.0.0.1:" + std::to_string(Port));
+    Listener.open(Address.protocol());
+    Listener.set_option(Tcp::acceptor::reuse_address(true));
+    Listener.bind(Address);
+    Listener.listen(0);
+    // The kernel admits one more than the length of the queue.
+    Waiting.emplace_back(Io);
+    Waiting.back().connect(Address);
+  }
+
+private:
+  Tcp::acceptor Listener;
+  std::vector<Tcp::socket> Waiting;
+};
+
 /// An entry that ends its connections when its stop has ended, as an exit does.
 struct StopFixture : RelayFixture {
   void begin(Duration Grace) {
@@ -279,4 +300,80 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against a wait that began before the stop and outlasts a short grace,
+/// so that the exit cuts its request.
+BOOST_AUTO_TEST_SUITE(EndsWaitsThatBeganBeforeIt)
+
+constexpr Duration TimeBeforeStop = 100ms;
+
+/// Starts \p Targets, which wait, and then a stop with \p Grace.
+void checkAreRefused(StopFixture &Self, Duration Grace,
+                     const std::vector<std::string> &Targets) {
+  for (const std::string &Target : Targets)
+    Self.startRequest(Target, {{"Id", Target},
+                               {"Program", "p"},
+                               {"Budget", "1000"},
+                               {"Most", "100"}});
+  Self.Io.run_for(TimeBeforeStop);
+  for (const auto &Result : Self.Results)
+    BOOST_REQUIRE(!Result->Response);
+  Self.begin(Grace);
+  Self.untilEnded();
+  Self.untilAnswered();
+  for (const auto &Result : Self.Results) {
+    BOOST_TEST(Result->Response->Head.Status == 503);
+    BOOST_TEST((Result->EndedAt < Self.BegunAt + Grace));
+  }
+  // Records that silent ledgers do not store hold up the exit.
+  if (Self.Client.pendingRecords() == 0)
+    BOOST_TEST((Self.Took < Grace));
+  const HttpServerLoad Cut = Self.Server.counts().CutAtDeadline;
+  BOOST_TEST(Cut.Running == 0U);
+  BOOST_TEST(Cut.Arriving == 0U);
+  BOOST_TEST(Self.requestCount() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE(ForLedgers)
+
+void checkWaitForLedgers(StopFixture &Self, Duration Grace) {
+  Self.silence(1);
+  Self.silence(2);
+  checkAreRefused(Self, Grace, {"/turn/a", "/kept/a"});
+}
+
+BOOST_AUTO_TEST_CASE(InAThirdOfASecond) { checkWaitForLedgers(*this, 300ms); }
+BOOST_AUTO_TEST_CASE(InSixTenths) { checkWaitForLedgers(*this, 600ms); }
+BOOST_AUTO_TEST_CASE(InASecond) { checkWaitForLedgers(*this, 1100ms); }
+
+/// A turn of a chain waits for the earlier turns first.
+BOOST_AUTO_TEST_CASE(ThatHaveTheEarlierTurns) {
+  for (const int Ledger : {1, 2, 3})
+    silence(Ledger);
+  startRequest("/kept/a", {{"Id", "2"}, {"Previous", "1"}, {"Program", "p"}});
+  checkAreRefused(*this, 600ms, {});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ForTheStore)
+
+BOOST_AUTO_TEST_CASE(ThatHasTheConfiguration) {
+  StoreDelay = 400ms;
+  CatalogAge = 10s;
+  checkAreRefused(*this, 300ms, {"/unknown/a"});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+/// The connection is in the queue of a listener that is full.
+BOOST_AUTO_TEST_CASE(ForAConnection) {
+  FullListener Silent(Io, 19798);
+  RequestRelay.setEndpoints(
+      {{EndpointId("silent"), ServiceId("s"), "127.0.0.1:19798",
+        DataCentreId("a"), 16, EndpointState::Ready, 0}});
+  checkAreRefused(*this, 300ms, {"/once/a", "/turn/a"});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
