Hold all requests that wait for a listing of endpoints until it ends

Callers were refused (503) while the listing of endpoints that their request waited for still ran, as soon as another request began to wait for it.

Cause: Signal has one timer, and Signal::wait() with another deadline than the waits before cancels them. Each request has its own deadline, so all but the last one were woken at once and found no endpoint.

All wait for the signal until the deadline of the listing that runs, and for that until their own.

AreAllHeldUntilTheListingEnds states it by itself.

--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -182,12 +182,15 @@
   if (!ListEndpoints)
     co_return;
   if (IsListing) {
-    co_await EndpointsListed.wait(Deadline);
+    // A common deadline: another one would wake all that wait already.
+    auto Listed = asExpected(EndpointsListed.wait(ListingUntil));
+    co_await waitUntil(Deadline, std::move(Listed));
     co_return;
   }
   if (steadyNow() < NextListingAt)
     co_return;
   IsListing = true;
+  ListingUntil = Deadline;
   NextListingAt = steadyNow() + ListingInterval;
   const std::size_t Before = Endpoints.size();
   co_await ListEndpoints(Deadline);
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -166,6 +166,8 @@
   Duration ListingInterval = std::chrono::seconds(1);
   TimePoint NextListingAt;
   bool IsListing = false;
+  /// The deadline of the listing that runs.
+  TimePoint ListingUntil;
   /// Raised at the end of a listing.
   Signal EndpointsListed;
   CrashRecords Crashes;
--- a/packages/relay/test/GracefulStopTest.cpp
+++ b/packages/relay/test/GracefulStopTest.cpp
@@ -357,6 +357,12 @@
 
 BOOST_AUTO_TEST_SUITE(ForTheStore)
 
+BOOST_AUTO_TEST_CASE(ThatListsEndpoints) {
+  StoreDelay = 400ms;
+  listEndpoints({});
+  checkAreRefused(*this, 300ms, {"/once/a", "/safe/a", "/turn/a"});
+}
+
 BOOST_AUTO_TEST_CASE(ThatHasTheConfiguration) {
   StoreDelay = 400ms;
   CatalogAge = 10s;
--- a/packages/relay/test/RelayTest.cpp
+++ b/packages/relay/test/RelayTest.cpp
@@ -413,6 +413,23 @@
   BOOST_TEST(EndpointListings == 1);
 }
 
+/// Guards against requests that are refused while the listing which they wait
+/// for still runs, since another one has begun to wait for it.
+BOOST_AUTO_TEST_CASE(AreAllHeldUntilTheListingEnds) {
+  setResponses({{signedResponse("hello")}});
+  StoreDelay = 200ms;
+  listEndpoints({});
+  for (int Number = 0; Number < 5; ++Number) {
+    startRequest("/safe/a", {{"Id", std::to_string(Number)}});
+    Io.run_for(10ms);
+  }
+  listEndpoints({0, 1});
+  untilAnswered();
+  for (const auto &Result : Results)
+    BOOST_TEST(Result->Response->Head.Status == 200);
+  BOOST_TEST(EndpointListings == 1);
+}
+
 BOOST_AUTO_TEST_CASE(AreRefusedAtOnceIfTheStoreListsNone) {
   listEndpoints({});
   const TimePoint SentAt = steadyNow();
