--- a/packages/relay/test/GracefulStopTest.cpp
+++ b/packages/relay/test/GracefulStopTest.cpp
@@ -300,6 +300,87 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against requests that an endpoint's end beside the stop leaves
+/// without an answer, runs twice, or calls not run.
+BOOST_AUTO_TEST_SUITE(WhileTheEndpointOfItsRequests)
+
+const std::vector<std::string> AllTargets = {"/once/a", "/safe/a", "/turn/a",
+                                             "/kept/a"};
+
+/// Starts a request of each kind and then a stop, and does \p Change while they
+/// run at the first endpoint.
+void changeWhileRunning(StopFixture &Self, const ScriptedResponse &Response,
+                        const std::function<void()> &Change) {
+  Self.setResponses({Response});
+  Self.listEndpoints({0});
+  for (const std::string &Target : AllTargets)
+    Self.startRequest(Target, {{"Id", Target}, {"Program", "p"}});
+  Self.until([&] { return Self.requestCount() == AllTargets.size(); });
+  Self.begin(ShortGrace);
+  Change();
+  Self.untilEnded();
+  Self.untilAnswered();
+}
+
+/// Checks that each request was answered by the only endpoint that ran it.
+void checkAreServed(const StopFixture &Self) {
+  for (const auto &Result : Self.Results)
+    BOOST_TEST(Result->Response->Head.Status == 200);
+  BOOST_TEST(Self.requestCount() == AllTargets.size());
+}
+
+const ScriptedResponse LateAnswer{completeStream(2), false, 300ms};
+const ScriptedResponse LateEnd{"", true, 300ms};
+
+BOOST_AUTO_TEST_CASE(Disappears) {
+  changeWhileRunning(*this, LateAnswer, [this] { listEndpoints({1}); });
+  checkAreServed(*this);
+}
+
+BOOST_AUTO_TEST_CASE(AndAllOthersDisappear) {
+  changeWhileRunning(*this, LateAnswer, [this] { listEndpoints({}); });
+  checkAreServed(*this);
+}
+
+BOOST_AUTO_TEST_CASE(IsReplacedAtItsAddress) {
+  changeWhileRunning(*this, LateAnswer, [this] { listEndpoints({0, 1}, 2); });
+  checkAreServed(*this);
+}
+
+/// A request that may be repeated is, once; of the others nothing is promised.
+void checkMayHaveRun(StopFixture &Self) {
+  BOOST_TEST(Self.Results[0]->Response->Head.Status == 502);
+  BOOST_TEST(Self.Results[1]->Response->Head.Status == 200);
+  BOOST_TEST(Self.Results[2]->Response->Head.Status == 502);
+  BOOST_TEST(Self.Results[3]->Response->Head.Status == 502);
+  BOOST_TEST(Self.requestCount() == AllTargets.size() + 1);
+}
+
+BOOST_AUTO_TEST_CASE(DisappearsAndBreaksOff) {
+  changeWhileRunning(*this, LateEnd, [this] {
+    Endpoints[1]->Responses = {{signedResponse("again")}};
+    listEndpoints({1});
+  });
+  checkMayHaveRun(*this);
+}
+
+BOOST_AUTO_TEST_CASE(BreaksOffAndIsReplacedAtItsAddress) {
+  changeWhileRunning(*this, LateEnd, [this] {
+    Endpoints[1]->Responses = {{signedResponse("again")}};
+    listEndpoints({0, 1}, 2);
+  });
+  checkMayHaveRun(*this);
+}
+
+BOOST_AUTO_TEST_CASE(BreaksOffAndAllDisappear) {
+  changeWhileRunning(*this, LateEnd, [this] { listEndpoints({}); });
+  for (const auto &Result : Results)
+    BOOST_TEST(Result->Response->Head.Status == 502);
+  BOOST_TEST(requestCount() == AllTargets.size());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 /// Guards against a wait that began before the stop and outlasts a short grace,
 /// so that the exit cuts its request.
 BOOST_AUTO_TEST_SUITE(EndsWaitsThatBeganBeforeIt)
