--- a/packages/relay/test/GracefulStopTest.cpp
+++ b/packages/relay/test/GracefulStopTest.cpp
@@ -68,12 +68,25 @@
          std::string(BodyBytes, 'b');
 }
 
-/// What a caller received.
-struct CallerResult {
-  /// Set once the exchange has ended. The status is 0 if the response is
-  /// incomplete.
-  std::optional<HttpResponse> Response;
-  TimePoint EndedAt;
+/// A listener whose queue is full, so that the kernel answers no further
+/// connection.
+class FullListener {
+public:
+  FullListener(Loop &Io, int Port) : Listener(Io) {
+    const Tcp::endpoint Address =
+        *parseAddress("127.0.0.1:" + std::to_string(Port));
+    Listener.open(Address.protocol());
+    Listener.set_option(Tcp::acceptor::reuse_address(true));
+    Listener.bind(Address);
+    Listener.listen(0);
+    // The kernel admits one more than the length of the queue.
+    Waiting.emplace_back(Io);
+    Waiting.back().connect(Address);
+  }
+
+private:
+  Tcp::acceptor Listener;
+  std::vector<Tcp::socket> Waiting;
 };
 
 /// An entry that ends its connections when its stop has ended, as an exit does.
@@ -95,24 +108,6 @@
   void standStillUntil(Duration SinceBegin) {
     std::this_thread::sleep_until(BegunAt + SinceBegin);
   }
-  /// Sends a request as a caller that goes on while the test does.
-  void startRequest(const std::string &Target, std::vector<HttpField> Fields) {
-    HttpRequest Request{"POST", Target, {}, "body"};
-    Request.Fields.All = std::move(Fields);
-    Results.push_back(std::make_shared<CallerResult>());
-    asio::co_spawn(Io, fetchFromHost("h", std::move(Request)),
-                   [Result = Results.back()](const std::exception_ptr &,
-                                             Expected<HttpResponse> Response) {
-                     Result->Response =
-                         Response ? std::move(*Response) : HttpResponse{};
-                     Result->EndedAt = steadyNow();
-                   });
-  }
-  void untilAnswered() {
-    for (const auto &Result : Results)
-      until([&] { return Result->Response.has_value(); });
-  }
-
   void untilEnded() {
     until([this] { return Ends > 0; });
   }
@@ -122,7 +117,6 @@
   }
 
   std::unique_ptr<GracefulStop> Stop;
-  std::vector<std::shared_ptr<CallerResult>> Results;
   TimePoint BegunAt;
   Duration Took{0};
   int Ends = 0;
@@ -306,4 +300,167 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against requests that an endpoint's end beside the stop leaves
+/// without an answer, runs twice, or calls not run.
+BOOST_AUTO_TEST_SUITE(WhileTheEndpointOfItsRequests)
+
+const std::vector<std::string> AllTargets = {"/once/a", "/safe/a", "/turn/a",
+                                             "/kept/a"};
+
+/// Starts a request of each kind and then a stop, and does \p Change while they
+/// run at the first endpoint.
+void changeWhileRunning(StopFixture &Self, const ScriptedResponse &Response,
+                        const std::function<void()> &Change) {
+  Self.setResponses({Response});
+  Self.listEndpoints({0});
+  for (const std::string &Target : AllTargets)
+    Self.startRequest(Target, {{"Id", Target}, {"Program", "p"}});
+  Self.until([&] { return Self.requestCount() == AllTargets.size(); });
+  Self.begin(ShortGrace);
+  Change();
+  Self.untilEnded();
+  Self.untilAnswered();
+}
+
+/// Checks that each request was answered by the only endpoint that ran it.
+void checkAreServed(const StopFixture &Self) {
+  for (const auto &Result : Self.Results)
+    BOOST_TEST(Result->Response->Head.Status == 200);
+  BOOST_TEST(Self.requestCount() == AllTargets.size());
+}
+
+const ScriptedResponse LateAnswer{completeStream(2), false, 300ms};
+const ScriptedResponse LateEnd{"", true, 300ms};
+
+BOOST_AUTO_TEST_CASE(Disappears) {
+  changeWhileRunning(*this, LateAnswer, [this] { listEndpoints({1}); });
+  checkAreServed(*this);
+}
+
+BOOST_AUTO_TEST_CASE(AndAllOthersDisappear) {
+  changeWhileRunning(*this, LateAnswer, [this] { listEndpoints({}); });
+  checkAreServed(*this);
+}
+
+BOOST_AUTO_TEST_CASE(IsReplacedAtItsAddress) {
+  changeWhileRunning(*this, LateAnswer, [this] { listEndpoints({0, 1}, 2); });
+  checkAreServed(*this);
+}
+
+/// A request that may be repeated is, once; of the others nothing is promised.
+void checkMayHaveRun(StopFixture &Self) {
+  BOOST_TEST(Self.Results[0]->Response->Head.Status == 502);
+  BOOST_TEST(Self.Results[1]->Response->Head.Status == 200);
+  BOOST_TEST(Self.Results[2]->Response->Head.Status == 502);
+  BOOST_TEST(Self.Results[3]->Response->Head.Status == 502);
+  BOOST_TEST(Self.requestCount() == AllTargets.size() + 1);
+}
+
+BOOST_AUTO_TEST_CASE(DisappearsAndBreaksOff) {
+  changeWhileRunning(*this, LateEnd, [this] {
+    Endpoints[1]->Responses = {{signedResponse("again")}};
+    listEndpoints({1});
+  });
+  checkMayHaveRun(*this);
+}
+
+BOOST_AUTO_TEST_CASE(BreaksOffAndIsReplacedAtItsAddress) {
+  changeWhileRunning(*this, LateEnd, [this] {
+    Endpoints[1]->Responses = {{signedResponse("again")}};
+    listEndpoints({0, 1}, 2);
+  });
+  checkMayHaveRun(*this);
+}
+
+BOOST_AUTO_TEST_CASE(BreaksOffAndAllDisappear) {
+  changeWhileRunning(*this, LateEnd, [this] { listEndpoints({}); });
+  for (const auto &Result : Results)
+    BOOST_TEST(Result->Response->Head.Status == 502);
+  BOOST_TEST(requestCount() == AllTargets.size());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+/// Guards against a wait that began before the stop and outlasts a short grace,
+/// so that the exit cuts its request.
+BOOST_AUTO_TEST_SUITE(EndsWaitsThatBeganBeforeIt)
+
+constexpr Duration TimeBeforeStop = 100ms;
+
+/// Starts \p Targets, which wait, and then a stop with \p Grace.
+void checkAreRefused(StopFixture &Self, Duration Grace,
+                     const std::vector<std::string> &Targets) {
+  for (const std::string &Target : Targets)
+    Self.startRequest(Target, {{"Id", Target},
+                               {"Program", "p"},
+                               {"Budget", "1000"},
+                               {"Most", "100"}});
+  Self.Io.run_for(TimeBeforeStop);
+  for (const auto &Result : Self.Results)
+    BOOST_REQUIRE(!Result->Response);
+  Self.begin(Grace);
+  Self.untilEnded();
+  Self.untilAnswered();
+  for (const auto &Result : Self.Results) {
+    BOOST_TEST(Result->Response->Head.Status == 503);
+    BOOST_TEST((Result->EndedAt < Self.BegunAt + Grace));
+  }
+  // Records that silent ledgers do not store hold up the exit.
+  if (Self.Client.pendingRecords() == 0)
+    BOOST_TEST((Self.Took < Grace));
+  const HttpServerLoad Cut = Self.Server.counts().CutAtDeadline;
+  BOOST_TEST(Cut.Running == 0U);
+  BOOST_TEST(Cut.Arriving == 0U);
+  BOOST_TEST(Self.requestCount() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE(ForLedgers)
+
+void checkWaitForLedgers(StopFixture &Self, Duration Grace) {
+  Self.silence(1);
+  Self.silence(2);
+  checkAreRefused(Self, Grace, {"/turn/a", "/kept/a"});
+}
+
+BOOST_AUTO_TEST_CASE(InAThirdOfASecond) { checkWaitForLedgers(*this, 300ms); }
+BOOST_AUTO_TEST_CASE(InSixTenths) { checkWaitForLedgers(*this, 600ms); }
+BOOST_AUTO_TEST_CASE(InASecond) { checkWaitForLedgers(*this, 1100ms); }
+
+/// A turn of a chain waits for the earlier turns first.
+BOOST_AUTO_TEST_CASE(ThatHaveTheEarlierTurns) {
+  for (const int Ledger : {1, 2, 3})
+    silence(Ledger);
+  startRequest("/kept/a", {{"Id", "2"}, {"Previous", "1"}, {"Program", "p"}});
+  checkAreRefused(*this, 600ms, {});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ForTheStore)
+
+BOOST_AUTO_TEST_CASE(ThatListsEndpoints) {
+  StoreDelay = 400ms;
+  listEndpoints({});
+  checkAreRefused(*this, 300ms, {"/once/a", "/safe/a", "/turn/a"});
+}
+
+BOOST_AUTO_TEST_CASE(ThatHasTheConfiguration) {
+  StoreDelay = 400ms;
+  CatalogAge = 10s;
+  checkAreRefused(*this, 300ms, {"/unknown/a"});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+/// The connection is in the queue of a listener that is full.
+BOOST_AUTO_TEST_CASE(ForAConnection) {
+  FullListener Silent(Io, 19798);
+  RequestRelay.setEndpoints(
+      {{EndpointId("silent"), ServiceId("s"), "127.0.0.1:19798",
+        DataCentreId("a"), 16, EndpointState::Ready, 0}});
+  checkAreRefused(*this, 300ms, {"/once/a", "/turn/a"});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
