Let a wait without a deadline not spin

What operators saw: processor time of entries and ledgers that wait for a call over a link: the wait returned at once, over and over, until the reply came.

Cause: TimePoint::max() in microseconds overflows in the timer's nanoseconds, so that the timer had expired.

Evidence: ASignal/ThatIsNotRaisedWakesNobodyWithoutADeadline, red before (1,000 wakes, the test's limit, where none was due), green now. The deadline is limited to what the clock's unit holds.

--- a/packages/net/src/Loop.cpp
+++ b/packages/net/src/Loop.cpp
@@ -1,5 +1,6 @@
 #include "tamarack/net/Loop.h"
 
+#include <algorithm>
 #include <boost/asio/detached.hpp>
 #include <charconv>
 #include <exception>
@@ -19,6 +20,10 @@
 constexpr int ProbeIntervalSeconds = 1;
 constexpr int MaxLostProbes = 2;
 
+/// Later times overflow in the unit of the clock.
+constexpr TimePoint MaxTimerExpiry(std::chrono::duration_cast<Duration>(
+    std::chrono::steady_clock::duration::max()));
+
 } // namespace
 
 void spawn(Loop &Io, Task<void> Work) {
@@ -36,6 +41,7 @@
 
 Task<void> Signal::wait(TimePoint Deadline) {
   ErrorCode Failure;
+  Deadline = std::min(Deadline, MaxTimerExpiry);
   if (Timer.expiry() != Deadline)
     Timer.expires_at(Deadline);
   co_await Timer.async_wait(storeErrorIn(Failure));
