Let idle connections follow the limits of a new configuration

What callers saw: after a configuration that allows longer bodies or longer idle times, the next request on a connection that was idle meanwhile was answered 413, or its connection was closed by the old timeout.

Cause: the limits were taken when the connection became idle.

Evidence: AChangeOfTheConfiguration/HoldsForIdleConnections, both cases red before (413, and no answer), green now. A shorter idle timeout still holds from the next request on, as callers were told the longer one.

--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -127,6 +127,8 @@
   Inner->Limits = Limits;
   if (Inner->Draining)
     Inner->Limits.KeepAliveTimeout = IdleTimeout;
+  for (internal::HttpSession *Session : Inner->Sessions)
+    Session->limitsChanged();
 }
 
 void HttpServer::drain(Duration IdleTimeout) {
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -107,6 +107,11 @@
                            : Now + Server->Limits.ClosingRequestTimeout;
 }
 
+void HttpSession::limitsChanged() {
+  if (Phase == SessionPhase::Idle && !Server->Draining && !Server->Closing)
+    Deadline = std::max(Deadline, idleDeadline(IdleSince));
+}
+
 void HttpSession::closeIfIdle(TimePoint Now) {
   if (Phase == SessionPhase::Lingering)
     Deadline = std::min(Deadline, Now + Server->Limits.ClosingLingerTimeout);
@@ -196,16 +201,18 @@
 Task<ReadOutcome> HttpSession::readRequest() {
   const HttpServerLimits &Limits = Server->Limits;
   Parser Reader;
-  Reader.header_limit(static_cast<std::uint32_t>(Limits.MaxRequestHeadBytes));
-  Reader.body_limit(Limits.MaxRequestBodyBytes);
   Phase = SessionPhase::Idle;
-  Deadline = idleDeadline(steadyNow());
+  IdleSince = steadyNow();
+  Deadline = idleDeadline(IdleSince);
   ErrorCode Failure;
   if (Buffer.size() == 0) {
     co_await Socket.async_wait(Tcp::socket::wait_read, storeErrorIn(Failure));
     if (Failure)
       co_return ReadOutcome::Disconnected;
   }
+  // The limits may have changed while the connection was idle.
+  Reader.header_limit(static_cast<std::uint32_t>(Limits.MaxRequestHeadBytes));
+  Reader.body_limit(Limits.MaxRequestBodyBytes);
   Phase = SessionPhase::Reading;
   Deadline = steadyNow() + Limits.RequestReadTimeout;
   co_await http::async_read_header(Socket, Buffer, Reader,
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -84,6 +84,9 @@
     if (Phase == SessionPhase::Idle)
       Deadline = std::min(Deadline, Time);
   }
+  /// Keeps an idle connection for as long as the new limits of the server
+  /// allow, if they allow more.
+  void limitsChanged();
   /// Closes the connection if the server, which is closing, need not wait for
   /// a request, and limits the time for which it lingers.
   void closeIfIdle(TimePoint Now);
@@ -141,6 +144,7 @@
   /// When sweep() may close the connection.
   TimePoint Deadline = TimePoint::max();
   SessionPhase Phase = SessionPhase::Idle;
+  TimePoint IdleSince;
   bool Writing = false;
   /// Sent bytes that the caller had not received at the last check.
   int QueuedBytes = 0;
--- a/packages/relay/test/ConfigurationChangesTest.cpp
+++ b/packages/relay/test/ConfigurationChangesTest.cpp
@@ -182,4 +182,43 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Callers keep connections for as long as the configuration says when they
+/// send their next request, and send what it allows then.
+BOOST_AUTO_TEST_SUITE(HoldsForIdleConnections)
+
+/// Guards against a body that is refused by a limit which is not in force.
+BOOST_AUTO_TEST_CASE(ThatSendLongerRequestsThanWereAllowedBefore) {
+  HttpServerLimits Limits;
+  Limits.MaxRequestBodyBytes = 100;
+  Server.setLimits(Limits);
+  setResponses({{signedResponse("done")}});
+  RawCaller Caller(Io, EntryAddress);
+  const std::string Short = "GET /once/a HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n";
+  BOOST_TEST(await(Caller.send(Short)).Status == 200);
+  Limits.MaxRequestBodyBytes = 10000;
+  Server.setLimits(Limits);
+  const std::string Long = "POST /once/a HTTP/1.1\r\nHost: h\r\nId: "
+                           "2\r\nContent-Length: 4000\r\n\r\n" +
+                           std::string(4000, 'b');
+  BOOST_TEST(await(Caller.send(Long)).Status == 200);
+}
+
+/// Guards against an idle timeout that outlasts the configuration it was in.
+BOOST_AUTO_TEST_CASE(ThatAreIdleForLongerThanWasAllowedBefore) {
+  HttpServerLimits Limits;
+  Limits.KeepAliveTimeout = 500ms;
+  Server.setLimits(Limits);
+  setResponses({{signedResponse("done")}});
+  RawCaller Caller(Io, EntryAddress);
+  const std::string Request =
+      "GET /once/a HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n";
+  BOOST_TEST(await(Caller.send(Request)).Status == 200);
+  Limits.KeepAliveTimeout = 5s;
+  Server.setLimits(Limits);
+  Io.run_for(1200ms);
+  BOOST_TEST(await(Caller.send(Request)).Status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
