Bound the read buffers of HTTP connections

Boost.Beast's parser limits the head of a message and the data of its body, but reads the header of a chunk and the trailer as a whole without a limit, and the read buffer had no maximum. Now the buffer has the limit of the head. Where a part does not fit, the read fails: callers get 431, and calls to endpoints, the store, and links to readiness and metrics fail like any malformed message. All HTTP messages are read by these two classes.

--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -15,13 +15,13 @@
 
 namespace http = boost::beast::http;
 using internal::HttpConnection;
+using internal::MaxHeadBytes;
 
 namespace {
 
 /// An idle connection is discarded this long before the server's timeout, so
 /// that the server does not close it while a request is on its way.
 constexpr Duration IdleTimeoutMargin = std::chrono::milliseconds(700);
-constexpr std::uint32_t MaxHeadBytes = 64U << 10U;
 constexpr std::size_t MaxRetainedBufferBytes = 16U << 10U;
 /// A connection that has carried more refusals is closed.
 constexpr std::size_t MaxRefusalsPerConnection = 64;
@@ -333,7 +333,7 @@
   Connection->IdleDeadline =
       steadyNow() + Inner->IdleTimeout - IdleTimeoutMargin;
   if (Connection->Buffer.capacity() > MaxRetainedBufferBytes)
-    Connection->Buffer = boost::beast::flat_buffer();
+    Connection->Buffer.shrink_to_fit();
   Inner->Pool.release(std::move(Connection));
 }
 
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -2,6 +2,7 @@
 
 #include "tamarack/net/Log.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -28,6 +29,8 @@
 constexpr Duration MaxDecisionAge = std::chrono::milliseconds(1);
 /// The maximum number of bytes of a response that are written at once.
 constexpr std::size_t MaxWriteBytes = 64U << 10U;
+/// The smallest limit of the read buffer, for bodies that arrive fast.
+constexpr std::size_t MinReadBufferLimit = 16U << 10U;
 /// A read buffer that has grown beyond this size is freed after the request.
 constexpr std::size_t MaxRetainedBufferBytes = 8U << 10U;
 
@@ -63,7 +66,10 @@
 }
 
 int statusOf(const ErrorCode &Failure) {
-  if (Failure == http::error::header_limit)
+  // The parser limits the head. The extension of a chunk and the trailer, which
+  // it reads as a whole too, are limited by the read buffer.
+  if (Failure == http::error::header_limit ||
+      Failure == http::error::buffer_overflow)
     return 431;
   if (Failure == http::error::body_limit)
     return 413;
@@ -181,7 +187,8 @@
   ErrorCode Failure = endSending();
   const std::size_t Waiting = Buffer.size() + unreadBytes();
   std::size_t Discarded = Buffer.size();
-  Buffer = boost::beast::flat_buffer();
+  Buffer.clear();
+  Buffer.shrink_to_fit();
   while (!Failure) {
     Discarded += co_await Socket.async_read_some(
         asio::buffer(Server->Discarded), storeErrorIn(Failure));
@@ -213,6 +220,8 @@
   // The limits may have changed while the connection was idle.
   Reader.header_limit(static_cast<std::uint32_t>(Limits.MaxRequestHeadBytes));
   Reader.body_limit(Limits.MaxRequestBodyBytes);
+  Buffer.max_size(std::max(
+      {Limits.MaxRequestHeadBytes, MinReadBufferLimit, Buffer.size()}));
   Phase = SessionPhase::Reading;
   Deadline = steadyNow() + Limits.RequestReadTimeout;
   co_await http::async_read_header(Socket, Buffer, Reader,
@@ -271,7 +280,7 @@
     Socket.cancel(Ignored);
   }
   if (Buffer.capacity() > MaxRetainedBufferBytes && Buffer.size() == 0)
-    Buffer = boost::beast::flat_buffer();
+    Buffer.shrink_to_fit();
   Request = {};
 }
 
