Count what requests in flight take against one memory account

The limit of a body bounded each request, and was taken for a bound on all of them; the same holds for heads, read buffers and trailers.

What a request takes from its first byte to the end of its handler is now a share of one account. The larger a share is, the more of the account it must leave free, so a small request finds room while large ones are refused: with 503 and a time to come back, or 413 where it could never fit. The body is read piece by piece into memory that is counted before it is reserved. Read buffers begin with 2 KB and grow with what arrives.

net AServerWithAMemoryAccount.

--- a/packages/net/include/tamarack/net/HttpCall.h
+++ b/packages/net/include/tamarack/net/HttpCall.h
@@ -20,6 +20,7 @@
 
 #include "tamarack/net/HttpMessage.h"
 #include "tamarack/net/Loop.h"
+#include "tamarack/net/MemoryAccount.h"
 
 #include <map>
 #include <memory>
@@ -45,6 +46,10 @@
   bool EnableKeepAliveProbes = false;
   /// Responses with a longer body fail with EndpointFailed.
   std::uint64_t MaxResponseBodyBytes = 16U << 20U;
+  /// What the read buffers of calls take counts there; may be null. What
+  /// readPiece() returns does not. A call fails with Overloaded if too little
+  /// is left.
+  std::shared_ptr<MemoryAccount> Memory;
 };
 
 namespace internal {
--- a/packages/net/include/tamarack/net/HttpServer.h
+++ b/packages/net/include/tamarack/net/HttpServer.h
@@ -9,6 +9,11 @@
 /// the server watches the connection and reports at once if the caller closes
 /// it. If a handler returns without a response, the connection is closed.
 ///
+/// If the server has a memory account, what its requests take counts there from
+/// their first byte to the end of their handler. A request for which too little
+/// is left is refused with 503 while it is read, and with 413 if there could
+/// never be enough.
+///
 /// The server closes a connection in a way that lets the caller read what was
 /// sent before: it ends its own direction, and discards what still arrives
 /// until the caller has closed the connection too. Meanwhile the connection is
@@ -25,6 +30,7 @@
 #include "tamarack/base/Compare.h"
 #include "tamarack/net/HttpMessage.h"
 #include "tamarack/net/Loop.h"
+#include "tamarack/net/MemoryAccount.h"
 
 #include <functional>
 #include <memory>
@@ -76,6 +82,8 @@
   std::uint64_t CutWhileReading = 0;
   /// Lingering connections that the server closed before the caller did.
   std::uint64_t LingerTimeouts = 0;
+  /// Requests that were refused because too little memory was left.
+  std::uint64_t RefusedForMemory = 0;
   /// Connections on which more bytes of the caller arrived behind a response
   /// that ended them. Requests among these bytes have no answer.
   std::uint64_t Discarded = 0;
@@ -83,8 +91,8 @@
   HttpServerLoad CutAtDeadline;
 
   auto tied() const {
-    return std::tie(ClosedUnread, CutWhileReading, LingerTimeouts, Discarded,
-                    CutAtDeadline);
+    return std::tie(ClosedUnread, CutWhileReading, LingerTimeouts,
+                    RefusedForMemory, Discarded, CutAtDeadline);
   }
 };
 
@@ -136,7 +144,8 @@
 public:
   using Handler = std::function<Task<void>(HttpExchange &)>;
 
-  HttpServer(Loop &Io, HttpServerLimits Limits, Handler Handle);
+  HttpServer(Loop &Io, HttpServerLimits Limits, Handler Handle,
+             std::shared_ptr<MemoryAccount> Memory = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -1,6 +1,7 @@
 #include "tamarack/net/HttpCall.h"
 
 #include "HttpConnection.h"
+#include "PieceBody.h"
 
 #include <algorithm>
 
@@ -8,21 +9,23 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <sys/socket.h>
 
 namespace tamarack {
 
 namespace http = boost::beast::http;
+using internal::BufferGrowth;
 using internal::HttpConnection;
-using internal::MaxHeadBytes;
+using internal::InitialReadBufferLimit;
 
 namespace {
 
 /// An idle connection is discarded this long before the server's timeout, so
 /// that the server does not close it while a request is on its way.
 constexpr Duration IdleTimeoutMargin = std::chrono::milliseconds(700);
-constexpr std::size_t MaxRetainedBufferBytes = 16U << 10U;
+/// The maximum length of the head of a response, and of any other part that the
+/// parser reads as a whole: the extension of a chunk and the trailer.
+constexpr std::uint32_t MaxHeadBytes = 64U << 10U;
 /// A connection that has carried more refusals is closed.
 constexpr std::size_t MaxRefusalsPerConnection = 64;
 
@@ -132,7 +135,8 @@
 
 struct HttpCall::Impl : std::enable_shared_from_this<Impl> {
   Impl(ConnectionPool &Pool, std::unique_ptr<HttpConnection> Connection)
-      : Pool(Pool), Connection(std::move(Connection)) {
+      : Pool(Pool), Connection(std::move(Connection)),
+        Memory(Pool.limits().Memory, MemoryUse::Responses) {
     restartReader();
   }
 
@@ -145,13 +149,16 @@
 
   ConnectionPool &Pool;
   std::unique_ptr<HttpConnection> Connection;
-  std::optional<http::response_parser<http::string_body>> Reader;
+  /// What the read buffer takes.
+  MemoryShare Memory;
+  std::optional<http::response_parser<internal::PieceBody>> Reader;
   bool HeadOnly = false;
   std::string Writing;
   std::size_t WrittenBytes = 0;
   bool Written = false;
   bool Aborted = false;
   bool Failed = false;
+  bool OutOfMemory = false;
   bool EndedByServer = false;
   Duration IdleTimeout{0};
 
@@ -181,6 +188,26 @@
     Writing = {};
   }
 
+  /// Lets the read buffer become larger if \p Failure says that it is full and
+  /// its limit allows. Returns false if the read cannot go on.
+  bool growBuffer(ErrorCode &Failure) {
+    const BufferGrowth Growth =
+        internal::growIfFull(Connection->Buffer, Failure, MaxHeadBytes, Memory);
+    OutOfMemory = Growth == BufferGrowth::OutOfMemory;
+    if (Growth != BufferGrowth::Grown)
+      return false;
+    Failure = {};
+    return true;
+  }
+
+  tl::unexpected<Error> readFailure(const ErrorCode &Failure) {
+    noteReadFailure(Failure);
+    if (OutOfMemory)
+      return refuse(ErrorKind::Overloaded,
+                    "too little memory is left for the response");
+    return endpointFailure(Failure);
+  }
+
   void noteReadFailure(const ErrorCode &Failure) {
     Failed = true;
     EndedByServer = !Aborted && (Failure == http::error::end_of_stream ||
@@ -240,13 +267,13 @@
   const auto Self = Inner;
   for (int Interim = 0;; ++Interim) {
     ErrorCode Failure;
-    co_await http::async_read_header(Self->Connection->Socket,
-                                     Self->Connection->Buffer, *Self->Reader,
-                                     storeErrorIn(Failure));
-    if (Failure) {
-      Self->noteReadFailure(Failure);
-      co_return endpointFailure(Failure);
-    }
+    do {
+      co_await http::async_read_header(Self->Connection->Socket,
+                                       Self->Connection->Buffer, *Self->Reader,
+                                       storeErrorIn(Failure));
+    } while (Self->growBuffer(Failure));
+    if (Failure)
+      co_return Self->readFailure(Failure);
     if (!isInterim(Self->Reader->get().result_int()))
       break;
     if (Interim == MaxInterimResponses) {
@@ -277,13 +304,13 @@
   std::string &Body = Self->Reader->get().body();
   while (Body.empty() && !Self->Reader->is_done()) {
     ErrorCode Failure;
-    co_await http::async_read_some(Self->Connection->Socket,
-                                   Self->Connection->Buffer, *Self->Reader,
-                                   storeErrorIn(Failure));
-    if (Failure) {
-      Self->noteReadFailure(Failure);
-      co_return endpointFailure(Failure);
-    }
+    do {
+      co_await http::async_read_some(Self->Connection->Socket,
+                                     Self->Connection->Buffer, *Self->Reader,
+                                     storeErrorIn(Failure));
+    } while (Self->growBuffer(Failure));
+    if (Failure)
+      co_return Self->readFailure(Failure);
   }
   if (Body.empty())
     co_return std::optional<std::string>();
@@ -332,8 +359,8 @@
   ++Connection->CompletedExchanges;
   Connection->IdleDeadline =
       steadyNow() + Inner->IdleTimeout - IdleTimeoutMargin;
-  if (Connection->Buffer.capacity() > MaxRetainedBufferBytes)
-    Connection->Buffer.shrink_to_fit();
+  internal::freeIfLarge(Connection->Buffer);
+  Connection->Buffer.max_size(InitialReadBufferLimit);
   Inner->Pool.release(std::move(Connection));
 }
 
--- a/packages/net/src/HttpConnection.h
+++ b/packages/net/src/HttpConnection.h
@@ -2,6 +2,8 @@
 #ifndef TAMARACK_NET_HTTPCONNECTION_H
 #define TAMARACK_NET_HTTPCONNECTION_H
 
+#include "ReadBuffer.h"
+
 #include "tamarack/net/Loop.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -10,17 +12,13 @@
 
 namespace tamarack::internal {
 
-/// The maximum length of the head of a response, and of any other part that the
-/// parser reads as a whole: the extension of a chunk and the trailer.
-constexpr std::uint32_t MaxHeadBytes = 64U << 10U;
-
 struct HttpConnection {
   HttpConnection(std::string Address, Tcp::socket Socket)
       : Address(std::move(Address)), Socket(std::move(Socket)) {}
 
   std::string Address;
   Tcp::socket Socket;
-  boost::beast::flat_buffer Buffer{MaxHeadBytes};
+  boost::beast::flat_buffer Buffer{InitialReadBufferLimit};
   /// Number of requests completed on this connection.
   std::uint64_t CompletedExchanges = 0;
   /// When an idle connection must no longer be used, because the server may
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -97,8 +97,10 @@
     Session->close();
 }
 
-HttpServer::HttpServer(Loop &Io, HttpServerLimits Limits, Handler Handle)
-    : Inner(std::make_shared<Impl>(Io, Limits, std::move(Handle))) {}
+HttpServer::HttpServer(Loop &Io, HttpServerLimits Limits, Handler Handle,
+                       std::shared_ptr<MemoryAccount> Memory)
+    : Inner(std::make_shared<Impl>(Io, Limits, std::move(Handle),
+                                   std::move(Memory))) {}
 
 HttpServer::~HttpServer() { close(); }
 
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -1,5 +1,7 @@
 #include "HttpSession.h"
 
+#include "ReadBuffer.h"
+
 #include "tamarack/net/Log.h"
 
 #include <algorithm>
@@ -29,10 +31,11 @@
 constexpr Duration MaxDecisionAge = std::chrono::milliseconds(1);
 /// The maximum number of bytes of a response that are written at once.
 constexpr std::size_t MaxWriteBytes = 64U << 10U;
-/// The smallest limit of the read buffer, for bodies that arrive fast.
-constexpr std::size_t MinReadBufferLimit = 16U << 10U;
-/// A read buffer that has grown beyond this size is freed after the request.
-constexpr std::size_t MaxRetainedBufferBytes = 8U << 10U;
+/// How much of a long body is read at once.
+constexpr std::size_t BodyReadBytes = 16U << 10U;
+/// When a caller should retry after too little memory was left. It is free
+/// again when other requests have ended.
+constexpr const char *RetryAfterMemory = "0.200";
 
 HttpFields fieldsOf(const http::fields &From) {
   HttpFields Result;
@@ -80,7 +83,8 @@
 
 HttpSession::HttpSession(std::shared_ptr<HttpServer::Impl> Server,
                          Tcp::socket Socket)
-    : Server(std::move(Server)), Socket(std::move(Socket)) {
+    : Server(std::move(Server)), Socket(std::move(Socket)),
+      Memory(this->Server->Memory, MemoryUse::Requests) {
   configureSocket(this->Socket, CallerAckTimeout);
 }
 
@@ -220,23 +224,22 @@
   // The limits may have changed while the connection was idle.
   Reader.header_limit(static_cast<std::uint32_t>(Limits.MaxRequestHeadBytes));
   Reader.body_limit(Limits.MaxRequestBodyBytes);
-  Buffer.max_size(std::max(
-      {Limits.MaxRequestHeadBytes, MinReadBufferLimit, Buffer.size()}));
   Phase = SessionPhase::Reading;
   Deadline = steadyNow() + Limits.RequestReadTimeout;
-  co_await http::async_read_header(Socket, Buffer, Reader,
-                                   storeErrorIn(Failure));
+  std::string Body;
+  co_await readHead(Reader, Failure);
   if (!Failure && Reader.get().count(http::field::expect) > 0) {
     std::string Continue = "HTTP/1.1 100 Continue\r\n\r\n";
     co_await write(std::move(Continue));
   }
-  if (!Failure && !Reader.is_done()) {
-    co_await http::async_read(Socket, Buffer, Reader, storeErrorIn(Failure));
+  if (!Failure) {
+    co_await readBody(Reader, Body, Failure);
   }
-  if (Failure) {
-    if (!isMalformed(Failure))
+  if (Failure || OutOfMemory) {
+    if (!OutOfMemory && !isMalformed(Failure))
       co_return ReadOutcome::Disconnected;
-    co_await refuseRequest(statusOf(Failure));
+    Body = {};
+    co_await refuseRequest(refusalStatus(Failure, Reader));
     co_return ReadOutcome::Refused;
   }
   auto Message = Reader.release();
@@ -247,18 +250,86 @@
   Request = {{Method.data(), Method.size()},
              {Target.data(), Target.size()},
              fieldsOf(Message),
-             std::move(Message.body())};
+             std::move(Body)};
   Request.Fields.erase("Expect");
   RequestReadAt = steadyNow();
   Deadline = TimePoint::max();
   co_return ReadOutcome::Complete;
 }
 
+Task<void> HttpSession::readHead(Parser &Reader, ErrorCode &Failure) {
+  Buffer.max_size(std::max(InitialReadBufferLimit, Buffer.size()));
+  OutOfMemory = !Memory.resize(Buffer.max_size());
+  do {
+    if (OutOfMemory)
+      co_return;
+    co_await http::async_read_header(Socket, Buffer, Reader,
+                                     storeErrorIn(Failure));
+  } while (growBuffer(Failure, 0));
+}
+
+Task<void> HttpSession::readBody(Parser &Reader, std::string &Body,
+                                 ErrorCode &Failure) {
+  const std::size_t Length = Reader.content_length().value_or(0);
+  if (Server->Memory && !Server->Memory->canEverHold(Length)) {
+    OutOfMemory = true;
+    co_return;
+  }
+  const bool IsLong = Reader.chunked() || Length > Buffer.max_size();
+  if (IsLong && Memory.resize(std::max(BodyReadBytes, Buffer.max_size()))) {
+    Buffer.max_size(std::max(BodyReadBytes, Buffer.max_size()));
+    Buffer.reserve(BodyReadBytes);
+  }
+  std::string &Piece = Reader.get().body();
+  while (!OutOfMemory && !Failure && !Reader.is_done()) {
+    do {
+      co_await http::async_read_some(Socket, Buffer, Reader,
+                                     storeErrorIn(Failure));
+    } while (growBuffer(Failure, Body.capacity()));
+    if (!Failure && !OutOfMemory)
+      OutOfMemory =
+          !appendWithin(Memory, Body, Piece, Buffer.max_size(), Length);
+    Piece.clear();
+  }
+}
+
+bool HttpSession::growBuffer(ErrorCode &Failure, std::size_t BodyBytes) {
+  const std::size_t MaxBytes =
+      std::max(Server->Limits.MaxRequestHeadBytes, BodyReadBytes);
+  const BufferGrowth Growth =
+      growIfFull(Buffer, Failure, MaxBytes, Memory, BodyBytes);
+  OutOfMemory = Growth == BufferGrowth::OutOfMemory;
+  if (Growth != BufferGrowth::Grown)
+    return false;
+  Failure = {};
+  return true;
+}
+
+int HttpSession::refusalStatus(const ErrorCode &Failure,
+                               const Parser &Reader) const {
+  if (!OutOfMemory)
+    return statusOf(Failure);
+  const std::size_t Needed =
+      Buffer.max_size() + Reader.content_length().value_or(0);
+  return Server->Memory->canEverHold(Needed) ? 503 : 413;
+}
+
 Task<void> HttpSession::refuseRequest(int Status) {
   Phase = SessionPhase::Answering;
   HttpHead Head{Status, {}};
   Head.Fields.add("Content-Length", "0");
   Head.Fields.add("Connection", "close");
+  if (OutOfMemory) {
+    ++Server->Counts.RefusedForMemory;
+    LogLine("server.refused_for_memory")
+        .with("status", Status)
+        .with("held_bytes", Memory.size())
+        .with("used_bytes", Server->Memory->used())
+        .with("limit_bytes", Server->Memory->limit());
+    Memory.shrinkTo(0);
+  }
+  if (Status == 503)
+    Head.Fields.add("Retry-After", RetryAfterMemory);
   std::string Text = encodeHead(Head);
   co_await write(std::move(Text));
 }
@@ -279,9 +350,9 @@
     ErrorCode Ignored; // Only the wait of watchForDisconnect() is pending.
     Socket.cancel(Ignored);
   }
-  if (Buffer.capacity() > MaxRetainedBufferBytes && Buffer.size() == 0)
-    Buffer.shrink_to_fit();
+  freeIfLarge(Buffer);
   Request = {};
+  Memory.shrinkTo(std::min(Memory.size(), Buffer.capacity()));
 }
 
 void HttpSession::watchForDisconnect() {
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -2,6 +2,8 @@
 #ifndef TAMARACK_NET_HTTPSESSION_H
 #define TAMARACK_NET_HTTPSESSION_H
 
+#include "PieceBody.h"
+
 #include "tamarack/net/HttpServer.h"
 
 #include <array>
@@ -11,13 +13,14 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 namespace tamarack {
 
 struct HttpServer::Impl : std::enable_shared_from_this<Impl> {
-  Impl(Loop &Io, HttpServerLimits Limits, Handler Handle)
-      : Io(Io), Limits(Limits), Handle(std::move(Handle)), Ended(Io) {}
+  Impl(Loop &Io, HttpServerLimits Limits, Handler Handle,
+       std::shared_ptr<MemoryAccount> Memory)
+      : Io(Io), Limits(Limits), Handle(std::move(Handle)),
+        Memory(std::move(Memory)), Ended(Io) {}
 
   void accepted(Tcp::socket Socket);
   Task<void> sweepPeriodically();
@@ -33,6 +36,7 @@
   Loop &Io;
   HttpServerLimits Limits;
   const Handler Handle;
+  const std::shared_ptr<MemoryAccount> Memory;
   std::optional<Tcp::acceptor> Listener;
   std::unordered_set<internal::HttpSession *> Sessions;
   /// Whether acceptLoop() runs.
@@ -109,10 +113,19 @@
   std::function<void()> DisconnectCallback;
 
 private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<PieceBody>;
 
   Task<ReadOutcome> readRequest();
+  /// Reads the rest of the head.
+  Task<void> readHead(Parser &Reader, ErrorCode &Failure);
+  /// Reads the rest of the body into \p Body. Sets OutOfMemory and stops if
+  /// too little memory is left.
+  Task<void> readBody(Parser &Reader, std::string &Body, ErrorCode &Failure);
+  /// Lets the read buffer become larger if \p Failure says that it is full and
+  /// its limit allows. Returns false if the read cannot go on.
+  bool growBuffer(ErrorCode &Failure, std::size_t BodyBytes);
+  /// The status of the refusal of a request that could not be read.
+  int refusalStatus(const ErrorCode &Failure, const Parser &Reader) const;
   Task<void> refuseRequest(int Status);
   Task<void> handleRequest();
   /// Reads and discards what arrives until the caller closes the connection.
@@ -141,6 +154,10 @@
   std::shared_ptr<HttpServer::Impl> Server;
   Tcp::socket Socket;
   boost::beast::flat_buffer Buffer;
+  /// What the read buffer and the body of the request take.
+  MemoryShare Memory;
+  /// Whether the request cannot be read because too little memory is left.
+  bool OutOfMemory = false;
   /// When sweep() may close the connection.
   TimePoint Deadline = TimePoint::max();
   SessionPhase Phase = SessionPhase::Idle;
--- /dev/null
+++ b/packages/net/src/ReadBuffer.h
@@ -0,0 +1,41 @@
+/// The buffer that the parser of HTTP messages reads into.
+#ifndef TAMARACK_NET_READBUFFER_H
+#define TAMARACK_NET_READBUFFER_H
+
+#include "tamarack/net/Loop.h"
+#include "tamarack/net/MemoryAccount.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+
+namespace tamarack::internal {
+
+/// The limit of a read buffer when a message begins. It grows with what
+/// arrives.
+constexpr std::size_t InitialReadBufferLimit = 2U << 10U;
+/// A read buffer that has grown beyond this size is freed after the message.
+constexpr std::size_t MaxRetainedBufferBytes = 4U << 10U;
+
+enum class BufferGrowth {
+  /// The read did not fail for want of room.
+  NotNeeded,
+  /// The buffer has become larger, so that the read can go on.
+  Grown,
+  /// The part of the message that is read as a whole is too long.
+  AtLimit,
+  /// Too little memory is left.
+  OutOfMemory,
+};
+
+/// Doubles the limit of \p Buffer up to \p MaxBytes if a read ended with
+/// \p Failure because the buffer was full. \p Share takes that limit and
+/// \p OtherBytes besides.
+BufferGrowth growIfFull(boost::beast::flat_buffer &Buffer,
+                        const ErrorCode &Failure, std::size_t MaxBytes,
+                        MemoryShare &Share, std::size_t OtherBytes = 0);
+
+/// Frees a buffer that is empty and large.
+void freeIfLarge(boost::beast::flat_buffer &Buffer);
+
+} // namespace tamarack::internal
+
+#endif // TAMARACK_NET_READBUFFER_H
