Search a stream's events in linear time

Callers of one entry waited while an endpoint sent events without end: each piece searched the incomplete event from its beginning, and each complete event moved all that followed. The splitter now remembers what it has searched and removes the events of a piece at once. It also tells the memory that it has reserved.

--- a/packages/relay/include/tamarack/relay/EventStream.h
+++ b/packages/relay/include/tamarack/relay/EventStream.h
@@ -29,12 +29,18 @@
   /// Removes and returns the next complete event, if there is one.
   std::optional<StreamEvent> next();
   /// Whether bytes of an incomplete event are buffered.
-  bool hasPartialEvent() const { return !Buffer.empty(); }
+  bool hasPartialEvent() const { return partialBytes() > 0; }
   /// The bytes of the incomplete event, once next() has returned nothing.
-  std::size_t partialBytes() const { return Buffer.size(); }
+  std::size_t partialBytes() const { return Buffer.size() - Used; }
+  /// The memory that is reserved for events.
+  std::size_t bufferBytes() const { return Buffer.capacity(); }
 
 private:
   std::string Buffer;
+  /// The bytes of events that were returned.
+  std::size_t Used = 0;
+  /// Up to where no event ends.
+  std::size_t Searched = 0;
 };
 
 } // namespace tamarack
--- a/packages/relay/src/EventStream.cpp
+++ b/packages/relay/src/EventStream.cpp
@@ -1,12 +1,17 @@
 #include "tamarack/relay/EventStream.h"
 
+#include <algorithm>
+
 namespace tamarack {
 namespace {
 
-/// The length of the first event including the empty line that ends it, or npos
-/// if the event is incomplete.
-std::size_t eventLength(std::string_view Text) {
-  for (std::size_t Pos = Text.find('\n'); Pos != std::string_view::npos;
+/// The length of the longest end of an event: a line feed and an empty line.
+constexpr std::size_t MaxEventEndBytes = 3;
+
+/// The position behind the empty line that ends the first event which ends
+/// behind \p From, or npos if it is incomplete.
+std::size_t eventEnd(std::string_view Text, std::size_t From) {
+  for (std::size_t Pos = Text.find('\n', From); Pos != std::string_view::npos;
        Pos = Text.find('\n', Pos + 1)) {
     if (Text.compare(Pos + 1, 1, "\n") == 0)
       return Pos + 2;
@@ -49,14 +54,25 @@
 
 } // namespace
 
-void EventSplitter::feed(std::string_view Bytes) { Buffer += Bytes; }
+void EventSplitter::feed(std::string_view Bytes) {
+  Buffer.erase(0, Used);
+  Searched -= Used;
+  Used = 0;
+  Buffer += Bytes;
+}
 
 std::optional<StreamEvent> EventSplitter::next() {
-  const std::size_t Length = eventLength(Buffer);
-  if (Length == std::string_view::npos)
+  const std::size_t End = eventEnd(Buffer, Searched);
+  if (End == std::string::npos) {
+    // The last bytes may belong to the line end before an empty line.
+    Searched = std::max(
+        Used, Buffer.size() - std::min(Buffer.size(), MaxEventEndBytes - 1));
     return std::nullopt;
-  StreamEvent Result = parseEvent(std::string_view(Buffer).substr(0, Length));
-  Buffer.erase(0, Length);
+  }
+  StreamEvent Result =
+      parseEvent(std::string_view(Buffer).substr(Used, End - Used));
+  Used = End;
+  Searched = End;
   return Result;
 }
 
