Return long chains in parts and store long turns one after the other

A program whose turns together were longer than a link's frame could never go on: each reply with its chain closed the link, with the calls of all others on it. Its chain also took some times its length at the entry and the ledger that had little memory. Replies now hold 1 MB of texts, or one turn, and the entry asks for the rest; it refuses a chain beyond its limit with body_too_large before it has all of it. Long texts are encoded and queued one after the other, as each takes some times its length meanwhile.

quorum AndReturnsLongChainsInParts, OfLongTurnsOneAfterTheOther; turns InPartsOfALimitedLength.

--- a/packages/quorum/include/tamarack/quorum/QuorumClient.h
+++ b/packages/quorum/include/tamarack/quorum/QuorumClient.h
@@ -69,6 +69,11 @@
   /// means the same region.
   std::function<int(const DataCentreId &)> Distance;
   LinkOptions Link;
+  /// The sum of the texts of turns that are stored at once. A longer text is
+  /// stored alone. Encoding and sending a text takes some times its length.
+  std::size_t MaxStoringBytes = 8U << 20U;
+  /// chain() fails for chains with longer texts.
+  std::size_t MaxChainBytes = 64U << 20U;
   /// Creates the load report of this process; null if it sends none.
   std::function<EndpointLoadReport()> MakeLoadReport;
   /// Called with the sum of the load reports of all other processes of the
@@ -105,6 +110,8 @@
   void storeRecordInBackground(TurnUpdate Update);
   /// The number of records that storeRecordInBackground() is still storing.
   std::size_t pendingRecords() const;
+  /// The sum of the long texts that are being stored.
+  std::size_t storingBytes() const;
 
   /// Returns \p Turn and all its predecessors, oldest first. UnknownProgram if
   /// every joined member answers that it does not have \p Turn; NotEnoughCopies
--- a/packages/quorum/src/LedgerCalls.cpp
+++ b/packages/quorum/src/LedgerCalls.cpp
@@ -13,6 +13,10 @@
 /// of a longer gap is asked for once these are known.
 constexpr std::size_t LinksPerTurn = 8;
 
+/// The limit on the texts of one reply. Entries ask for the rest of a longer
+/// chain.
+constexpr std::size_t MaxChainReplyBytes = 1U << 20U;
+
 /// The limit on programs whose last endpoint is remembered; about one minute of
 /// programs on a busy day.
 constexpr std::size_t MaxRememberedPrograms = 20000;
@@ -179,7 +183,8 @@
   ChainResponse Result{
       checkView(Request.ViewNumber), {}, newerView(Request.ViewNumber)};
   if (Result.Refusal == LedgerRefusal::None) {
-    const Expected<TurnStore::Texts> Chain = Store.storedChain(Request.Turn);
+    const Expected<TurnStore::Texts> Chain =
+        Store.storedChain(Request.Turn, MaxChainReplyBytes);
     if (!Chain)
       Result.Refusal = LedgerRefusal::Failed;
     else
--- a/packages/quorum/src/QuorumClient.cpp
+++ b/packages/quorum/src/QuorumClient.cpp
@@ -30,6 +30,8 @@
 /// How long a chain request waits for the nearest member before it is sent to
 /// the others.
 constexpr Duration NearestMemberHeadStart = std::chrono::milliseconds(60);
+/// Turns with texts up to this length are stored without regard to others.
+constexpr std::size_t SmallTextBytes = 64U << 10U;
 /// The timeout of a ping to a member that is not responsive. It covers the
 /// opening of a connection to another region.
 constexpr Duration PingTimeout = std::chrono::milliseconds(500);
@@ -59,13 +61,18 @@
 } // namespace
 
 struct QuorumClient::Impl : std::enable_shared_from_this<Impl> {
-  Impl(Loop &Io, QuorumOptions Options) : Io(Io), Options(std::move(Options)) {}
+  Impl(Loop &Io, QuorumOptions Options)
+      : Io(Io), Options(std::move(Options)), LongTextStored(Io) {}
 
   Loop &Io;
   const QuorumOptions Options;
   View Current;
   std::map<std::string, std::shared_ptr<LinkClient>> Links;
   std::size_t Pending = 0;
+  /// The sum of the long texts that are stored now.
+  std::size_t StoringBytes = 0;
+  /// Raised when one of them is stored or given up.
+  Signal LongTextStored;
   TimePoint LoadReportedAt;
   /// Members that were slow to store a record, and until when they come last in
   /// the order.
@@ -128,8 +135,11 @@
   /// Returns the joined members, nearest first. The order of equally near ones
   /// depends on a hash of \p Key; slow members come last.
   std::vector<ViewMember> joinedByDistance(const std::string &Key) const;
+  /// Stores a record whose text may be long, when there is room for it.
   Task<Expected<QuorumProgramState>>
   storeRecord(TurnUpdate Update, TimePoint Deadline, StoreEffort Effort);
+  Task<Expected<QuorumProgramState>>
+  storeInRounds(TurnUpdate Update, TimePoint Deadline, StoreEffort Effort);
   void sendViewThen(const std::shared_ptr<LinkClient> &Link, TimePoint Deadline,
                     std::function<void()> Next);
 };
@@ -496,11 +506,35 @@
 bool QuorumClient::isReachable() const { return Inner->Reach.isReachable(); }
 bool QuorumClient::isCutOff() const { return Inner->Reach.isCutOff(); }
 std::size_t QuorumClient::pendingRecords() const { return Inner->Pending; }
+std::size_t QuorumClient::storingBytes() const { return Inner->StoringBytes; }
 
 Task<Expected<QuorumProgramState>>
 QuorumClient::Impl::storeRecord(TurnUpdate Update, TimePoint Deadline,
                                 StoreEffort Effort) {
   const auto Self = shared_from_this();
+  const std::size_t Bytes =
+      Update.Record.Text ? textBytes(*Update.Record.Text) : 0;
+  if (Bytes <= SmallTextBytes) {
+    co_return co_await storeInRounds(std::move(Update), Deadline, Effort);
+  }
+  while (StoringBytes > 0 && StoringBytes + Bytes > Options.MaxStoringBytes &&
+         steadyNow() < Deadline)
+    co_await LongTextStored.wait(Deadline);
+  if (steadyNow() >= Deadline)
+    co_return refuse(ErrorKind::NotEnoughCopies,
+                     "other long turns were stored until the deadline");
+  StoringBytes += Bytes;
+  Expected<QuorumProgramState> Result =
+      co_await storeInRounds(std::move(Update), Deadline, Effort);
+  StoringBytes -= Bytes;
+  LongTextStored.raise();
+  co_return Result;
+}
+
+Task<Expected<QuorumProgramState>>
+QuorumClient::Impl::storeInRounds(TurnUpdate Update, TimePoint Deadline,
+                                  StoreEffort Effort) {
+  const auto Self = shared_from_this();
   while (steadyNow() < Deadline) {
     if (Effort == StoreEffort::UntilCutOff && Reach.isCutOff())
       co_return refuse(ErrorKind::NotEnoughCopies,
@@ -557,6 +591,7 @@
 Task<Expected<TurnChain>> QuorumClient::chain(TurnId Turn, TimePoint Deadline) {
   const auto Self = Inner;
   TurnChain Result;
+  std::size_t Bytes = 0;
   TurnId Next = Turn;
   while (!Next.empty()) {
     Expected<TurnChain> Part = co_await Self->readChainPart(Next, Deadline);
@@ -566,6 +601,12 @@
                        NotRun::Proved);
     if (!Part)
       co_return Part;
+    for (const auto &Stored : *Part)
+      Bytes += textBytes(*Stored);
+    if (Bytes > Self->Options.MaxChainBytes)
+      co_return refuse(ErrorKind::BodyTooLarge,
+                       "the turns before the request are too long",
+                       NotRun::Proved);
     Part->insert(Part->end(), Result.begin(), Result.end());
     Result = std::move(*Part);
     Next = Result.front()->Previous;
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -42,6 +42,64 @@
   BOOST_TEST(chain("a") == "in a, out a; ");
 }
 
+// Guards against a chain that no link can transport, and that fails each turn
+// of its program and every other call on the link.
+BOOST_FIXTURE_TEST_CASE(AndReturnsLongChainsInParts, QuorumFixture) {
+  startAll();
+  useCurrentView();
+  constexpr int Turns = 17;
+  constexpr std::size_t InputBytes = 4U << 20U;
+  for (int Number = 1; Number <= Turns; ++Number)
+    BOOST_REQUIRE(
+        storeRecord({ProgramId("p"),
+                     TurnId(std::to_string(Number)),
+                     {10, true},
+                     std::make_shared<const StoredTurn>(StoredTurn{
+                         TurnId(std::to_string(Number)),
+                         TurnId(Number == 1 ? "" : std::to_string(Number - 1)),
+                         std::string(InputBytes, 'x'), "out", 60s}),
+                     {}}));
+  QuorumOptions Options;
+  Options.MaxChainBytes = 2 * Turns * InputBytes;
+  QuorumClient Reader(Io, Options);
+  Reader.setView(Views.Current);
+  const Expected<TurnChain> Chain =
+      await(Reader.chain(TurnId(std::to_string(Turns)), steadyNow() + 20s));
+  BOOST_REQUIRE(Chain);
+  BOOST_TEST(Chain->size() == std::size_t(Turns));
+  BOOST_TEST(Chain->front()->Id.text() == "1");
+  // A client with less memory refuses it before it has all of it.
+  const Expected<TurnChain> TooLong =
+      await(Client.chain(TurnId(std::to_string(Turns)), steadyNow() + 20s));
+  BOOST_REQUIRE(!TooLong);
+  BOOST_TEST(TooLong.error().Kind == ErrorKind::BodyTooLarge);
+}
+
+// Guards against the memory that many long turns take while they are stored.
+BOOST_FIXTURE_TEST_CASE(OfLongTurnsOneAfterTheOther, QuorumFixture) {
+  startAll();
+  QuorumOptions Options;
+  Options.MaxStoringBytes = 1U << 20U;
+  QuorumClient Writer(Io, Options);
+  Writer.setView(Views.Current);
+  int Stored = 0;
+  for (int Number = 0; Number < 8; ++Number) {
+    TurnRecord Record = turn("long-" + std::to_string(Number));
+    Record.Text = std::make_shared<const StoredTurn>(
+        StoredTurn{Record.Turn, {}, std::string(900000, 'x'), "out", 60s});
+    asio::co_spawn(Io, Writer.storeRecord({Record, {}}, steadyNow() + 10s),
+                   [&Stored](const std::exception_ptr &,
+                             const Expected<QuorumProgramState> &Result) {
+                     Stored += Result ? 1 : 0;
+                   });
+  }
+  until([&] {
+    BOOST_REQUIRE(Writer.storingBytes() <= Options.MaxStoringBytes);
+    return Stored == 8;
+  });
+  BOOST_TEST(Writer.storingBytes() == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(AtNoMoreMembersThanAQuorumNeeds, QuorumFixture) {
   startAll();
   useCurrentView();
--- a/packages/turns/include/tamarack/turns/TurnStore.h
+++ b/packages/turns/include/tamarack/turns/TurnStore.h
@@ -52,6 +52,9 @@
   friend bool operator==(const StoredTurn &, const StoredTurn &) = default;
 };
 
+/// The bytes of the input and the output of \p Turn.
+std::size_t textBytes(const StoredTurn &Turn);
+
 /// The position of a stored turn in its chain, without its text.
 struct TurnLink {
   TurnId Previous;
@@ -156,9 +159,11 @@
   /// still be resumed.
   std::vector<ServiceVersion> originVersions() const;
   /// Returns \p Turn and its predecessors, oldest first, back to the first one
-  /// whose text is not stored here; empty if the text of \p Turn is not. Fails
-  /// if a text cannot be read from disk.
-  Expected<Texts> storedChain(const TurnId &Turn) const;
+  /// whose text is not stored here; empty if the text of \p Turn is not. Stops
+  /// before the texts become longer than \p MaxBytes, but not before \p Turn.
+  /// Fails if a text cannot be read from disk.
+  Expected<Texts> storedChain(const TurnId &Turn,
+                              std::size_t MaxBytes = SIZE_MAX) const;
 
   /// Tells the store that the record of \p Turn, with its text, is on disk at
   /// \p Location. The text is dropped from memory.
--- a/packages/turns/src/TurnStore.cpp
+++ b/packages/turns/src/TurnStore.cpp
@@ -110,6 +110,10 @@
     Record.Origin = Value.at(6).get<StreamOrigin>();
 }
 
+std::size_t textBytes(const StoredTurn &Turn) {
+  return Turn.Input.size() + Turn.Output.size();
+}
+
 TurnRecord withoutText(const TurnRecord &Record) {
   TurnRecord Result = Record;
   if (Record.Text) {
@@ -172,7 +176,7 @@
 
   void releaseText(TurnEntry &Entry) {
     if (Entry.Text)
-      TextBytes -= Entry.Text->Input.size() + Entry.Text->Output.size();
+      TextBytes -= tamarack::textBytes(*Entry.Text);
     Entry.Text.reset();
   }
 
@@ -279,7 +283,7 @@
   }
   if (Record.Text && !Entry.hasText()) {
     Entry.Text = Record.Text;
-    Inner->TextBytes += Entry.Text->Input.size() + Entry.Text->Output.size();
+    Inner->TextBytes += tamarack::textBytes(*Entry.Text);
     ++Inner->Texts;
     Changed = true;
   }
@@ -320,8 +324,10 @@
   return {Result.begin(), Result.end()};
 }
 
-Expected<TurnStore::Texts> TurnStore::storedChain(const TurnId &Turn) const {
+Expected<TurnStore::Texts> TurnStore::storedChain(const TurnId &Turn,
+                                                  std::size_t MaxBytes) const {
   Texts Result;
+  std::size_t Bytes = 0;
   TurnId Next = Turn;
   while (!Next.empty() && Result.size() < MaxChainLength) {
     const auto Found = Inner->Turns.find(Next.text());
@@ -330,6 +336,9 @@
     const auto Text = Inner->textOf(Found->second);
     if (!Text)
       return tl::unexpected(Text.error());
+    Bytes += tamarack::textBytes(**Text);
+    if (Bytes > MaxBytes && !Result.empty())
+      break;
     Result.push_back(*Text);
     Next = Result.back()->Previous;
   }
--- a/packages/turns/test/TurnStoreTest.cpp
+++ b/packages/turns/test/TurnStoreTest.cpp
@@ -53,6 +53,20 @@
   BOOST_TEST(chainText(Store, "c") == "in-a out-a in-c out-c ");
 }
 
+// Guards against a reply with a chain that is longer than a link transports.
+BOOST_AUTO_TEST_CASE(InPartsOfALimitedLength) {
+  TurnStore Store;
+  Store.apply(settledRecord("a", ""), StartTime);
+  Store.apply(settledRecord("b", "a"), StartTime);
+  Store.apply(settledRecord("c", "b"), StartTime);
+  const std::size_t TurnBytes = textBytes(*settledRecord("a", "").Text);
+  BOOST_TEST(Store.storedChain(TurnId("c"), 1)->size() == 1U);
+  const auto Part = Store.storedChain(TurnId("c"), 2 * TurnBytes);
+  BOOST_REQUIRE(Part->size() == 2U);
+  BOOST_TEST(Part->front()->Id.text() == "b");
+  BOOST_TEST(Store.storedChain(TurnId("c"), 3 * TurnBytes)->size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(BackToTheFirstTurnWhoseTextIsStoredElsewhere) {
   TurnStore Store;
   Store.apply(settledRecord("b", "a"), StartTime);
