Count what responses and copies of requests take

Callers of an entry lost their requests when some endpoints of a service sent signed bodies or one event without end: with 80 to 200 calls at once the entry's resident size passed 290 MB (110 and 88 allowed), as the limit of a body held for each response and not for their sum.

A request's copies (chain, input that is stored, encoded request) are counted before it is sent, and it is refused as not run if they do not fit. Bodies, incomplete events and the output that is kept are counted as they grow, and a response that does not fit is broken off; it counts against the endpoint unless its length was announced. The output of turns that are not stored is not kept any more, and a request is encoded without another copy.

--- a/packages/relay/include/tamarack/relay/Relay.h
+++ b/packages/relay/include/tamarack/relay/Relay.h
@@ -61,6 +61,9 @@
   /// The time between two exchanges with a ledger of the requests under which
   /// endpoints crashed.
   Duration CrashExchangeInterval = std::chrono::seconds(1);
+  /// What requests and responses in flight take counts there, except the
+  /// request as the server has read it. May be null.
+  std::shared_ptr<MemoryAccount> Memory;
 };
 
 class Relay {
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -66,15 +66,18 @@
   return Chosen;
 }
 
-HttpRequest Relay::Impl::buildAttemptRequest(const RequestContext &Context,
-                                             const EndpointEntry &To) const {
+std::string Relay::Impl::encodeAttempt(const RequestContext &Context,
+                                       const EndpointEntry &To) const {
   const HttpRequest &From = Context.Caller.request();
-  HttpRequest Result{From.Method, From.Target, From.Fields, Context.Body};
-  removeHopByHop(Result.Fields);
-  Wire.prepareAttempt(Result.Fields, To.Endpoint,
+  HttpRequest Head{From.Method, From.Target, From.Fields, {}};
+  removeHopByHop(Head.Fields);
+  Wire.prepareAttempt(Head.Fields, To.Endpoint,
                       std::max(Duration(0), Context.Deadline - steadyNow()));
-  if (!Result.Body.empty() || From.Method != "GET")
-    Result.Fields.add("Content-Length", std::to_string(Result.Body.size()));
+  if (!Context.Body.empty() || From.Method != "GET")
+    Head.Fields.add("Content-Length", std::to_string(Context.Body.size()));
+  std::string Result = encodeRequest(Head);
+  Result.reserve(Result.size() + Context.Body.size());
+  Result += Context.Body;
   return Result;
 }
 
@@ -117,7 +120,7 @@
       co_return nullptr;
     }
     WasReused = (*Call)->reused();
-    if ((*Call)->send(encodeRequest(buildAttemptRequest(Context, To)),
+    if ((*Call)->send(encodeAttempt(Context, To),
                       Context.Caller.request().Method == "HEAD")) {
       Context.CurrentCall = *Call;
       ++Context.PossibleRuns;
@@ -215,7 +218,14 @@
   return Head.Status == 421 || Wire.readResponseMetadata(Head).NotRun;
 }
 
-Task<Expected<std::string>> Relay::Impl::readBody(HttpCall &Call,
+bool Relay::Impl::isOwnFault(const Expected<HttpHead> &Head,
+                             const Error &Failure) {
+  return Failure.Kind == ErrorKind::Overloaded && Head &&
+         Head->Fields.has("Content-Length");
+}
+
+Task<Expected<std::string>> Relay::Impl::readBody(RequestContext &Context,
+                                                  HttpCall &Call,
                                                   const HttpHead &Head) {
   const bool Refused = isRefusal(Head);
   if (!Refused && !isForwardable(Head))
@@ -229,7 +239,11 @@
       co_return tl::unexpected(Piece.error());
     if (!*Piece)
       co_return Body;
-    Body += **Piece;
+    if (!appendWithin(Context.ResponseMemory, Body, **Piece, 0)) {
+      Call.abort();
+      co_return refuse(ErrorKind::Overloaded,
+                       "too little memory is left for the response");
+    }
     if (Refused && Body.size() > MaxRefusalBytes) {
       Call.abort();
       co_return Body;
@@ -269,7 +283,7 @@
   Expected<std::string> Body =
       refuse(ErrorKind::EndpointFailed, "no response head was received");
   if (Head) {
-    Body = co_await readBody(*Call, *Head);
+    Body = co_await readBody(Context, *Call, *Head);
   }
   Endpoints.onRequestEnded(To.Endpoint);
   if (IsSuspect)
@@ -280,24 +294,25 @@
     co_return AttemptResult{AttemptOutcome::NotRun, {}, "endpoints are full"};
   }
   if (!Head || !Body) {
+    const Error Cause = !Head ? Head.error() : Body.error();
     Call->abort();
     if (Context.isCancelled()) {
       recordSilence(To, SentAt, Head.has_value());
     } else {
-      Endpoints.onFailure(To.Endpoint, steadyNow());
+      if (!isOwnFault(Head, Cause))
+        Endpoints.onFailure(To.Endpoint, steadyNow());
       Metrics.countRetry(RelayRetryReason::Broken);
       if (Call->isEndedByServer()) {
         co_await recordBrokenAttempt(Context, To, SentAt);
       }
     }
-    const std::string FailureReason =
-        !Head ? Head.error().Message : Body.error().Message;
+    Context.ResponseMemory.shrinkTo(0);
     LogLine("entry.broken_answer")
         .with("request", Context.Metadata.RequestId)
         .with("endpoint", To.Endpoint)
         .with("reused", Call->reused() ? 1 : 0)
-        .with("reason", FailureReason);
-    co_return AttemptResult{AttemptOutcome::Indeterminate, {}, FailureReason};
+        .with("reason", Cause.Message);
+    co_return AttemptResult{AttemptOutcome::Indeterminate, {}, Cause.Message};
   }
   Call->finish();
   recordAnswer(To, Head->Status);
--- a/packages/relay/src/ChainCache.cpp
+++ b/packages/relay/src/ChainCache.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t TurnOverheadBytes = 400;
 
 std::size_t memoryBytes(const StoredTurn &Turn) {
-  return Turn.Input.size() + Turn.Output.size() + TurnOverheadBytes;
+  return textBytes(Turn) + TurnOverheadBytes;
 }
 
 } // namespace
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -203,13 +203,18 @@
 }
 
 Task<void> Relay::Impl::serve(HttpExchange &Caller) {
-  const auto Context = std::make_shared<RequestContext>(Io, Caller);
+  const auto Context = std::make_shared<RequestContext>(Io, Caller, Memory);
   std::optional<Error> Failure = co_await prepareConfirmed(*Context);
   if (Failure) {
     co_await refuseRequest(*Context, std::move(*Failure));
     co_return;
   }
   Context->Body = std::move(Caller.request().Body);
+  Failure = holdRequest(*Context, 0);
+  if (Failure) {
+    co_await refuseRequest(*Context, std::move(*Failure));
+    co_return;
+  }
   if (!Endpoints.isListed(Context->Service)) {
     const TimePoint Deadline =
         waitLimit(Context->Deadline, StoreConfirmTimeout);
@@ -279,6 +284,22 @@
   co_await Context.Caller.answer(std::move(Answer));
 }
 
+std::optional<Error> Relay::Impl::holdRequest(RequestContext &Context,
+                                              std::size_t ChainBytes) {
+  const std::size_t BodyBytes = Context.Body.size();
+  // The chain, the encoded request, and the input of a turn that is stored.
+  const std::size_t Copies = ChainBytes + ChainBytes + BodyBytes +
+                             (storesTurn(Context) ? BodyBytes : 0);
+  if (Context.RequestMemory.resize(Copies))
+    return std::nullopt;
+  const bool MayFitLater = Memory->canEverHold(Copies);
+  return Error{MayFitLater ? ErrorKind::Overloaded : ErrorKind::BodyTooLarge,
+               MayFitLater ? "too little memory is left for the request"
+                           : "the request with the turns before it is too long",
+               NotRun::Proved,
+               {}};
+}
+
 Task<void> Relay::Impl::forwardResponse(RequestContext &Context,
                                         EndpointId From,
                                         HttpResponse Response) {
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -44,8 +44,11 @@
 
 /// The state of a request from its last byte to the end of its answer.
 struct RequestContext {
-  RequestContext(Loop &Io, HttpExchange &Caller)
-      : Caller(Caller), DeadlineTimer(Io) {}
+  RequestContext(Loop &Io, HttpExchange &Caller,
+                 const std::shared_ptr<MemoryAccount> &Memory)
+      : Caller(Caller), DeadlineTimer(Io),
+        RequestMemory(Memory, MemoryUse::Requests),
+        ResponseMemory(Memory, MemoryUse::Responses) {}
 
   HttpExchange &Caller;
   RequestMetadata Metadata;
@@ -56,6 +59,10 @@
   TimePoint Deadline;
   asio::steady_timer DeadlineTimer;
   std::string Body;
+  /// What copies of the body and the chain before it take.
+  MemoryShare RequestMemory;
+  /// What the response takes that is received, and what is kept of it.
+  MemoryShare ResponseMemory;
   /// Of the request as the caller sent it.
   RequestDigest Digest;
   std::set<EndpointId> TriedEndpoints;
@@ -125,7 +132,8 @@
 /// The part of a stream that was forwarded so far.
 struct StreamState {
   EventSplitter Splitter;
-  /// The data of all events, each followed by a line feed.
+  /// The data of all events, each followed by a line feed; empty if the turn is
+  /// not stored.
   std::string Output;
   /// The number of events with data.
   std::uint64_t Events = 0;
@@ -140,6 +148,7 @@
        QuorumClient &Ledgers, ConnectionPool &Pool, RelayMetrics &Metrics)
       : Io(Io), Wire(Wire), Ledgers(Ledgers), Pool(Pool), Metrics(Metrics),
         Endpoints(Options.Endpoints), Chains(Options.ChainCacheBytes),
+        Memory(std::move(Options.Memory)),
         Configuration(std::move(Options.Configuration)),
         ListEndpoints(std::move(Options.ListEndpoints)), EndpointsListed(Io),
         Crashes(Options.Crashes, Options.ProcessId),
@@ -158,6 +167,7 @@
   RelayMetrics &Metrics;
   EndpointTable Endpoints;
   ChainCache Chains;
+  const std::shared_ptr<MemoryAccount> Memory;
   Catalog ActiveCatalog;
   const CatalogSource Configuration;
   const std::function<Task<void>(TimePoint)> ListEndpoints;
@@ -267,8 +277,9 @@
   /// none is left or the maximum number of endpoints is reached.
   std::optional<EndpointEntry>
   chooseNextEndpoint(internal::RequestContext &Context);
-  HttpRequest buildAttemptRequest(const internal::RequestContext &Context,
-                                  const EndpointEntry &To) const;
+  /// Encodes the request as \p To gets it.
+  std::string encodeAttempt(const internal::RequestContext &Context,
+                            const EndpointEntry &To) const;
   /// Takes an idle connection, or opens one until nothing may be sent any more.
   Task<Expected<std::shared_ptr<HttpCall>>> openCall(EndpointEntry To,
                                                      std::string RequestId);
@@ -285,7 +296,12 @@
   /// Reads the body of a response that is forwardable or a refusal, of a
   /// refusal only the beginning. Fails at once for any other response, whose
   /// body may have no end.
-  Task<Expected<std::string>> readBody(HttpCall &Call, const HttpHead &Head);
+  Task<Expected<std::string>> readBody(internal::RequestContext &Context,
+                                       HttpCall &Call, const HttpHead &Head);
+  /// Whether an attempt that failed with \p Failure says nothing about the
+  /// endpoint, as this process had too little memory for a response whose
+  /// length was known.
+  static bool isOwnFault(const Expected<HttpHead> &Head, const Error &Failure);
   /// Whether the response states that the request was not run.
   bool isRefusal(const HttpHead &Head) const;
   /// Whether a response may be forwarded to the caller: it is signed by the
@@ -316,7 +332,15 @@
   Task<void> exchangeCrashes();
   Task<void> exchangeCrashesWith(std::string Address);
 
+  /// Counts the copies of the request that are made to send it. \p ChainBytes
+  /// is the length of the chain before its body. Returns why the request is
+  /// refused, if it is.
+  std::optional<Error> holdRequest(internal::RequestContext &Context,
+                                   std::size_t ChainBytes);
+
   // Turns.cpp: budgets, chains and streams.
+  /// Whether the turn is stored when it is complete.
+  static bool storesTurn(const internal::RequestContext &Context);
   Task<void> serveTurn(internal::RequestContext &Context);
   /// Reserves the maximum tokens of the turn at the ledgers. Returns why the
   /// turn is refused, if it is.
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -15,6 +15,10 @@
 /// The maximum length of one event. Events hold the text of a few tokens.
 constexpr std::size_t MaxEventBytes = 1U << 20U;
 
+/// Why a stream is broken off if its events need more memory than is left.
+constexpr const char *OutOfMemoryReason =
+    "too little memory is left for the stream";
+
 /// Parses \p Text as a decimal number; nothing if any other character is in it.
 std::optional<std::uint64_t> parseNumber(const std::string &Text) {
   std::uint64_t Result = 0;
@@ -116,7 +120,13 @@
     for (const auto &Turn : Chain)
       Chains.add(Turn);
   }
+  std::size_t ChainBytes = 0;
+  for (const auto &Turn : Chain)
+    ChainBytes += textBytes(*Turn);
+  if (std::optional<Error> Failure = holdRequest(Context, ChainBytes))
+    co_return Failure;
   std::string History;
+  History.reserve(ChainBytes + Context.Body.size());
   for (const auto &Turn : Chain) {
     History += Turn->Input;
     History += Turn->Output;
@@ -125,9 +135,10 @@
       .with("request", Context.Metadata.RequestId)
       .with("previous", Context.Metadata.Previous)
       .with("turns", Chain.size())
-      .with("bytes", History.size())
+      .with("bytes", ChainBytes)
       .with("cached", Cached ? 1 : 0);
-  Context.Body.insert(0, History);
+  History += Context.Body;
+  Context.Body = std::move(History);
   co_return std::nullopt;
 }
 
@@ -149,9 +160,13 @@
                                 : Context.Metadata.MaxTurnTokens;
 }
 
+bool Relay::Impl::storesTurn(const RequestContext &Context) {
+  return Context.MatchedRoute.Kind == RequestKind::Stream &&
+         Context.MatchedRoute.RetainsTurns && !Context.Metadata.LastEventId;
+}
+
 Task<void> Relay::Impl::serveTurn(RequestContext &Context) {
-  const std::string Input =
-      Context.MatchedRoute.RetainsTurns ? Context.Body : std::string();
+  std::string Input = storesTurn(Context) ? Context.Body : std::string();
   std::optional<Error> Failure = co_await prependChain(Context);
   if (!Failure && !Context.isCancelled()) {
     Failure = co_await reserve(Context);
@@ -171,8 +186,8 @@
     Outcome = co_await streamFromEndpoint(Context, State, *To);
   }
   if (Outcome == StreamOutcome::Finished) {
-    if (Context.MatchedRoute.RetainsTurns)
-      Context.Body = Input;
+    if (storesTurn(Context))
+      Context.Body = std::move(Input);
     const bool Stored = co_await finishTurn(Context, State);
     if (Stored)
       co_return;
@@ -292,7 +307,7 @@
         .with("reason", Relayed.error().Message);
     co_return StreamOutcome::Indeterminate;
   }
-  Expected<std::string> Body = co_await readBody(Call, Head);
+  Expected<std::string> Body = co_await readBody(Context, Call, Head);
   if (Body && isRefusal(Head))
     co_return StreamOutcome::NotRun;
   if (!Body || Context.isCancelled())
@@ -325,9 +340,14 @@
       if (Context.Origin && Context.Origin->Process)
         forgetOrigin(Context);
     }
-    State.Splitter.feed(**Piece);
     std::string Ready;
     const char *Fault = nullptr;
+    if (Context.ResponseMemory.resize(State.Output.capacity() +
+                                      State.Splitter.bufferBytes() +
+                                      (*Piece)->size()))
+      State.Splitter.feed(**Piece);
+    else
+      Fault = OutOfMemoryReason;
     while (std::optional<StreamEvent> Event = State.Splitter.next()) {
       if (isHttpHead(*Event)) {
         Fault = "another response follows in the stream";
@@ -344,8 +364,13 @@
         if (State.Events++ == 0)
           Metrics.observeFirstEvent(steadyNow() -
                                     Context.Caller.requestReadAt());
-        State.Output += Event->Data;
-        State.Output += '\n';
+        Event->Data += '\n';
+        if (storesTurn(Context) &&
+            !appendWithin(Context.ResponseMemory, State.Output, Event->Data,
+                          State.Splitter.bufferBytes())) {
+          Fault = OutOfMemoryReason;
+          break;
+        }
       }
       Ready += Event->Text;
     }
@@ -365,7 +390,7 @@
                                    StreamState &State) {
   const TurnId Turn(Context.Metadata.RequestId);
   const TokenCount Tokens = generatedTokens(Context, State);
-  if (Context.MatchedRoute.RetainsTurns && !Context.Metadata.LastEventId) {
+  if (storesTurn(Context)) {
     const auto FinishedTurn = std::make_shared<const StoredTurn>(
         StoredTurn{Turn, Context.Metadata.Previous, std::move(Context.Body),
                    std::move(State.Output), Context.MatchedRoute.Retention});
