Hold no want of memory for a head against the endpoint

A head that did not fit the memory left was counted as a failure of its endpoint, as a body of unknown length is. A head is bounded, so it says nothing about the endpoint.

--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -220,8 +220,8 @@
 
 bool Relay::Impl::isOwnFault(const Expected<HttpHead> &Head,
                              const Error &Failure) {
-  return Failure.Kind == ErrorKind::Overloaded && Head &&
-         Head->Fields.has("Content-Length");
+  return Failure.Kind == ErrorKind::Overloaded &&
+         (!Head || Head->Fields.has("Content-Length"));
 }
 
 Task<Expected<std::string>> Relay::Impl::readBody(RequestContext &Context,
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -299,8 +299,8 @@
   Task<Expected<std::string>> readBody(internal::RequestContext &Context,
                                        HttpCall &Call, const HttpHead &Head);
   /// Whether an attempt that failed with \p Failure says nothing about the
-  /// endpoint, as this process had too little memory for a response whose
-  /// length was known.
+  /// endpoint, as this process had too little memory for the head of the
+  /// response, or for a body whose length was announced.
   static bool isOwnFault(const Expected<HttpHead> &Head, const Error &Failure);
   /// Whether the response states that the request was not run.
   bool isRefusal(const HttpHead &Head) const;
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -267,7 +267,7 @@
     recordAnswer(To, Status);
   else if (Context.isCancelled())
     recordSilence(To, SentAt, Head.has_value());
-  else
+  else if (Head || !isOwnFault(Head, Head.error()))
     Endpoints.onFailure(To.Endpoint, steadyNow());
   const bool IsBroken = Outcome == StreamOutcome::Indeterminate &&
                         !Context.isCancelled() &&
