Store waiting long turns in order, without waking each other

Callers of an entry on which two or more long turns waited to be stored shared its processor with a loop: one signal served waits with different deadlines, and each wait moved its timer and so woke the others. Each waiting turn has a signal of its own now, and the first that waits is stored first.

quorum WithoutWorkWhileLongTurnsWait counts the steps of the loop while four turns wait.

--- a/packages/quorum/src/QuorumClient.cpp
+++ b/packages/quorum/src/QuorumClient.cpp
@@ -4,6 +4,7 @@
 #include "tamarack/quorum/QuorumReachability.h"
 
 #include <algorithm>
+#include <deque>
 #include <set>
 
 namespace tamarack {
@@ -61,8 +62,7 @@
 } // namespace
 
 struct QuorumClient::Impl : std::enable_shared_from_this<Impl> {
-  Impl(Loop &Io, QuorumOptions Options)
-      : Io(Io), Options(std::move(Options)), LongTextStored(Io) {}
+  Impl(Loop &Io, QuorumOptions Options) : Io(Io), Options(std::move(Options)) {}
 
   Loop &Io;
   const QuorumOptions Options;
@@ -71,8 +71,9 @@
   std::size_t Pending = 0;
   /// The sum of the long texts that are stored now.
   std::size_t StoringBytes = 0;
-  /// Raised when one of them is stored or given up.
-  Signal LongTextStored;
+  /// The long texts that wait, the first to be stored first. Each has a signal
+  /// of its own, since waits with different deadlines wake each other.
+  std::deque<std::shared_ptr<Signal>> WaitingTexts;
   TimePoint LoadReportedAt;
   /// Members that were slow to store a record, and until when they come last in
   /// the order.
@@ -135,6 +136,13 @@
   /// Returns the joined members, nearest first. The order of equally near ones
   /// depends on a hash of \p Key; slow members come last.
   std::vector<ViewMember> joinedByDistance(const std::string &Key) const;
+  bool hasRoomFor(std::size_t Bytes) const {
+    return StoringBytes == 0 || StoringBytes + Bytes <= Options.MaxStoringBytes;
+  }
+  void wakeNextText() {
+    if (!WaitingTexts.empty())
+      WaitingTexts.front()->raise();
+  }
   /// Stores a record whose text may be long, when there is room for it.
   Task<Expected<QuorumProgramState>>
   storeRecord(TurnUpdate Update, TimePoint Deadline, StoreEffort Effort);
@@ -517,17 +525,22 @@
   if (Bytes <= SmallTextBytes) {
     co_return co_await storeInRounds(std::move(Update), Deadline, Effort);
   }
-  while (StoringBytes > 0 && StoringBytes + Bytes > Options.MaxStoringBytes &&
+  const auto Turn = std::make_shared<Signal>(Io);
+  WaitingTexts.push_back(Turn);
+  while ((WaitingTexts.front() != Turn || !hasRoomFor(Bytes)) &&
          steadyNow() < Deadline)
-    co_await LongTextStored.wait(Deadline);
-  if (steadyNow() >= Deadline)
+    co_await Turn->wait(Deadline);
+  std::erase(WaitingTexts, Turn);
+  const bool IsLate = steadyNow() >= Deadline;
+  StoringBytes += IsLate ? 0 : Bytes;
+  wakeNextText();
+  if (IsLate)
     co_return refuse(ErrorKind::NotEnoughCopies,
                      "other long turns were stored until the deadline");
-  StoringBytes += Bytes;
   Expected<QuorumProgramState> Result =
       co_await storeInRounds(std::move(Update), Deadline, Effort);
   StoringBytes -= Bytes;
-  LongTextStored.raise();
+  wakeNextText();
   co_return Result;
 }
 
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -100,6 +100,33 @@
   BOOST_TEST(Writer.storingBytes() == 0U);
 }
 
+// Guards against long turns that wait with different deadlines and wake each
+// other without end.
+BOOST_FIXTURE_TEST_CASE(WithoutWorkWhileLongTurnsWait, QuorumFixture) {
+  startAll();
+  QuorumOptions Options;
+  Options.MaxStoringBytes = 1;
+  QuorumClient Writer(Io, Options);
+  Writer.setView(Views.Current);
+  for (const int Number : {1, 2, 3})
+    stop(Number);
+  int Ended = 0;
+  for (int Number = 0; Number < 4; ++Number) {
+    TurnRecord Record = turn("long-" + std::to_string(Number));
+    Record.Text = std::make_shared<const StoredTurn>(
+        StoredTurn{Record.Turn, {}, std::string(100000, 'x'), "out", 60s});
+    asio::co_spawn(
+        Io,
+        Writer.storeRecord({Record, {}}, steadyNow() + 400ms + Number * 50ms),
+        [&Ended](const std::exception_ptr &,
+                 const Expected<QuorumProgramState> &) { ++Ended; });
+  }
+  constexpr std::size_t MaxSteps = 1000;
+  BOOST_TEST(Io.run_for(300ms) < MaxSteps);
+  until([&] { return Ended == 4; });
+  BOOST_TEST(Writer.storingBytes() == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(AtNoMoreMembersThanAQuorumNeeds, QuorumFixture) {
   startAll();
   useCurrentView();
