Bound the memory of the model of endpoints' prompt caches

The model was bounded in tokens, which callers state: parts without tokens, or with ids as long as a head, were kept for good, so a few hundred small requests could use up an entry's memory (found by review, not seen). Parts of a prompt, their ids and their number have limits now.

relay APromptCache/IsBounded.

--- a/packages/relay/include/tamarack/relay/PromptCache.h
+++ b/packages/relay/include/tamarack/relay/PromptCache.h
@@ -38,8 +38,16 @@
 
   /// The number of leading tokens of \p Prompt that are cached.
   TokenCount cachedTokens(const std::vector<PromptPart> &Prompt) const;
+  /// Callers choose parts and ids, and the capacity in tokens does not bound
+  /// the memory that these take. Longer ids, and what follows them in a prompt,
+  /// are not recorded.
+  static constexpr std::size_t MaxParts = 1024;
+  static constexpr std::size_t MaxPartsPerPrompt = 64;
+  static constexpr std::size_t MaxIdBytes = 64;
+
+  std::size_t size() const { return Parts.size(); }
   /// Records that \p Prompt was sent, and evicts the least recently used parts
-  /// above \p CapacityTokens.
+  /// above \p CapacityTokens or MaxParts.
   void recordPrompt(const std::vector<PromptPart> &Prompt,
                     TokenCount CapacityTokens);
   void clear();
--- a/packages/relay/src/PromptCache.cpp
+++ b/packages/relay/src/PromptCache.cpp
@@ -27,9 +27,17 @@
 
 void PromptCache::recordPrompt(const std::vector<PromptPart> &Prompt,
                                TokenCount CapacityTokens) {
+  // What follows a part that is not recorded is useless.
+  const auto End = std::find_if(
+      Prompt.begin(),
+      Prompt.begin() + static_cast<std::ptrdiff_t>(
+                           std::min(Prompt.size(), MaxPartsPerPrompt)),
+      [](const PromptPart &Part) { return Part.Id.size() > MaxIdBytes; });
+  const auto Recorded = static_cast<std::size_t>(End - Prompt.begin());
   // The first part becomes the most recently used one, because a part is
   // useless without those before it and must be evicted before them.
-  for (auto Part = Prompt.rbegin(); Part != Prompt.rend(); ++Part) {
+  for (auto Part = std::make_reverse_iterator(End); Part != Prompt.rend();
+       ++Part) {
     const auto It = Index.find(Part->Id);
     if (It != Index.end()) {
       TotalTokens -= It->second->Tokens;
@@ -39,7 +47,8 @@
     Index[Part->Id] = Parts.begin();
     TotalTokens += Part->Tokens;
   }
-  while (TotalTokens > CapacityTokens && Parts.size() > Prompt.size()) {
+  while (Parts.size() > Recorded &&
+         (TotalTokens > CapacityTokens || Parts.size() > MaxParts)) {
     TotalTokens -= Parts.back().Tokens;
     Index.erase(Parts.back().Id);
     Parts.pop_back();
