Limit the number of fields of a message, and count read buffers fully

A field of four bytes takes some 150 when it is parsed and copied, so 16 KB of short fields took half a megabyte for as long as the request ran, where 16 KB were counted (found by review). More than 256 fields, the trailer's included, are refused with 431, or end the call to the endpoint. A buffer with the start of the next request counts with its capacity, and is shrunk with it.

net BytesWithoutEnd/*ManyShortFields.

--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -283,6 +283,11 @@
     Self->restartReader();
   }
   const auto &Message = Self->Reader->get();
+  if (internal::countFields(Message) > internal::MaxFields) {
+    Self->Failed = true;
+    co_return refuse(ErrorKind::EndpointFailed,
+                     "the response has too many header fields");
+  }
   if (hasUnknownCoding(Message)) {
     Self->Failed = true;
     co_return refuse(ErrorKind::EndpointFailed,
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -228,13 +228,18 @@
   Deadline = steadyNow() + Limits.RequestReadTimeout;
   std::string Body;
   co_await readHead(Reader, Failure);
-  if (!Failure && Reader.get().count(http::field::expect) > 0) {
+  if (!Failure && !OutOfMemory && countFields(Reader.get()) > MaxFields)
+    Failure = http::error::header_limit;
+  if (!Failure && !OutOfMemory && Reader.get().count(http::field::expect) > 0) {
     std::string Continue = "HTTP/1.1 100 Continue\r\n\r\n";
     co_await write(std::move(Continue));
   }
-  if (!Failure) {
+  if (!Failure && !OutOfMemory) {
     co_await readBody(Reader, Body, Failure);
   }
+  // The trailer adds fields.
+  if (!Failure && !OutOfMemory && countFields(Reader.get()) > MaxFields)
+    Failure = http::error::header_limit;
   if (Failure || OutOfMemory) {
     if (!OutOfMemory && !isMalformed(Failure))
       co_return ReadOutcome::Disconnected;
@@ -258,8 +263,9 @@
 }
 
 Task<void> HttpSession::readHead(Parser &Reader, ErrorCode &Failure) {
-  Buffer.max_size(std::max(InitialReadBufferLimit, Buffer.size()));
-  OutOfMemory = !Memory.resize(Buffer.max_size());
+  // Some of the request may have been read with the previous one.
+  Buffer.max_size(Buffer.size() + InitialReadBufferLimit);
+  OutOfMemory = !Memory.resize(std::max(Buffer.max_size(), Buffer.capacity()));
   do {
     if (OutOfMemory)
       co_return;
@@ -309,8 +315,9 @@
                                const Parser &Reader) const {
   if (!OutOfMemory)
     return statusOf(Failure);
-  const std::size_t Needed =
-      Buffer.max_size() + Reader.content_length().value_or(0);
+  std::size_t Needed = Memory.size();
+  if (Reader.is_header_done())
+    Needed += Reader.content_length().value_or(0);
   return Server->Memory->canEverHold(Needed) ? 503 : 413;
 }
 
--- a/packages/net/src/ReadBuffer.cpp
+++ b/packages/net/src/ReadBuffer.cpp
@@ -20,7 +20,8 @@
 }
 
 void freeIfLarge(boost::beast::flat_buffer &Buffer) {
-  if (Buffer.size() == 0 && Buffer.capacity() > MaxRetainedBufferBytes)
+  if (Buffer.size() <= MaxRetainedBufferBytes &&
+      Buffer.capacity() > MaxRetainedBufferBytes)
     Buffer.shrink_to_fit();
 }
 
--- a/packages/net/src/ReadBuffer.h
+++ b/packages/net/src/ReadBuffer.h
@@ -6,6 +6,7 @@
 #include "tamarack/net/MemoryAccount.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <iterator>
 
 namespace tamarack::internal {
 
@@ -15,6 +16,15 @@
 /// A read buffer that has grown beyond this size is freed after the message.
 constexpr std::size_t MaxRetainedBufferBytes = 4U << 10U;
 
+/// The maximum number of fields of a message, each of which takes much more
+/// memory than its bytes if it is short.
+constexpr std::size_t MaxFields = 256;
+
+/// The number of fields of \p Head.
+template <class Fields> std::size_t countFields(const Fields &Head) {
+  return static_cast<std::size_t>(std::distance(Head.begin(), Head.end()));
+}
+
 enum class BufferGrowth {
   /// The read did not fail for want of room.
   NotNeeded,
@@ -33,7 +43,7 @@
                         const ErrorCode &Failure, std::size_t MaxBytes,
                         MemoryShare &Share, std::size_t OtherBytes = 0);
 
-/// Frees a buffer that is empty and large.
+/// Frees what a large buffer with little in it does not need.
 void freeIfLarge(boost::beast::flat_buffer &Buffer);
 
 } // namespace tamarack::internal
--- a/packages/net/test/HttpEndlessBytesTest.cpp
+++ b/packages/net/test/HttpEndlessBytesTest.cpp
@@ -40,9 +40,9 @@
     Client.sendAll(Begin);
     for (std::size_t Sent = 0;
          Sent < MaxSentBytes && Client.receive().empty() && !Client.isReset();
-         Sent += Piece.size()) {
+         Sent += Piece.size() + 1) {
       Client.sendAll(Piece);
-      Io.poll();
+      Io.run_for(std::chrono::microseconds(100));
     }
     return Client.receive();
   }
@@ -114,6 +114,17 @@
   BOOST_TEST(Answer.rfind("HTTP/1.1 431", 0) == 0U);
 }
 
+// Guards against short fields, which take many times their bytes.
+BOOST_FIXTURE_TEST_CASE(AreRefusedInManyShortFields, EndlessRequest) {
+  std::string Fields;
+  for (int Count = 0; Count < 1000; ++Count)
+    Fields += "a:\r\n";
+  const std::string Answer =
+      sendUntilAnswered("GET / HTTP/1.1\r\n" + Fields + "\r\n", {});
+  BOOST_TEST(Answer.rfind("HTTP/1.1 431", 0) == 0U);
+  BOOST_TEST(Started == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(DoNotHarmOtherCallers, EndlessRequest) {
   sendUntilAnswered(ChunkedRequest + "5;a=", extensionPiece());
   RawClient Client(ServerPort);
@@ -135,6 +146,15 @@
   BOOST_TEST(failsWhileReading(ChunkedResponse + "0\r\n", trailerPiece()));
 }
 
+BOOST_FIXTURE_TEST_CASE(EndTheCallInManyShortFields, EndlessResponse) {
+  std::string Fields;
+  for (int Count = 0; Count < 1000; ++Count)
+    Fields += "a:\r\n";
+  BOOST_TEST(failsWhileReading("HTTP/1.1 200 OK\r\n" + Fields +
+                                   "Content-Length: 5\r\n\r\n",
+                               extensionPiece().substr(0, 1)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
