Release a turn's request once its stream has begun

What a turn took to be sent was counted until its last event, so that few turns with long chains would have filled the account. Ids of requests, programs and turns, which are kept longer than their requests, may have 256 bytes.

--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -20,6 +20,9 @@
 /// run. Longer ones cost less if the connection is closed.
 constexpr std::size_t MaxSkippedBytes = 256U << 10U;
 constexpr std::size_t MaxRefusalBytes = 64U << 10U;
+/// A response that takes less than this part of the memory account is not held
+/// against its endpoint if there is too little memory for more of it.
+constexpr std::size_t FaultyShareDivisor = 64;
 /// A request that is cancelled after this time without any response counts
 /// against the endpoint.
 constexpr Duration SilentRequestTime = std::chrono::milliseconds(900);
@@ -218,10 +221,9 @@
   return Head.Status == 421 || Wire.readResponseMetadata(Head).NotRun;
 }
 
-bool Relay::Impl::isOwnFault(const Expected<HttpHead> &Head,
-                             const Error &Failure) {
-  return Failure.Kind == ErrorKind::Overloaded &&
-         (!Head || Head->Fields.has("Content-Length"));
+bool Relay::Impl::isOwnFault(const RequestContext &Context) const {
+  return Context.LackedMemory &&
+         Context.ResponseMemory.size() <= Memory->limit() / FaultyShareDivisor;
 }
 
 Task<Expected<std::string>> Relay::Impl::readBody(RequestContext &Context,
@@ -241,6 +243,7 @@
       co_return Body;
     if (!appendWithin(Context.ResponseMemory, Body, **Piece, 0)) {
       Call.abort();
+      Context.LackedMemory = true;
       co_return refuse(ErrorKind::Overloaded,
                        "too little memory is left for the response");
     }
@@ -280,6 +283,7 @@
     Endpoints.onSuspectStarted(To.Endpoint);
   Expected<HttpHead> Head =
       co_await readMatchingHead(Context, *Call, To.Endpoint);
+  Context.LackedMemory = !Head && Head.error().Kind == ErrorKind::Overloaded;
   Expected<std::string> Body =
       refuse(ErrorKind::EndpointFailed, "no response head was received");
   if (Head) {
@@ -299,7 +303,7 @@
     if (Context.isCancelled()) {
       recordSilence(To, SentAt, Head.has_value());
     } else {
-      if (!isOwnFault(Head, Cause))
+      if (!isOwnFault(Context))
         Endpoints.onFailure(To.Endpoint, steadyNow());
       Metrics.countRetry(RelayRetryReason::Broken);
       if (Call->isEndedByServer()) {
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -35,6 +35,15 @@
          Kind == ErrorKind::PlatformUnavailable;
 }
 
+/// Ids are kept beyond their requests, here and at the ledgers.
+constexpr std::size_t MaxIdBytes = 256;
+
+bool hasLongId(const RequestMetadata &Metadata) {
+  return Metadata.RequestId.size() > MaxIdBytes ||
+         Metadata.Program.text().size() > MaxIdBytes ||
+         Metadata.Previous.text().size() > MaxIdBytes;
+}
+
 Duration retryAfter(const RequestContext &Context, ErrorKind Kind) {
   if (isLocalCause(Kind))
     return RetryAfterElsewhere;
@@ -134,6 +143,11 @@
                  "the request has no request id",
                  NotRun::Proved,
                  {}};
+  if (hasLongId(Context.Metadata))
+    return Error{ErrorKind::MalformedRequest,
+                 "an id of the request is too long",
+                 NotRun::Proved,
+                 {}};
   Context.MatchedRoute = *Found;
   const std::string &Key = Context.Metadata.Program.empty()
                                ? Context.Metadata.RequestId
@@ -292,7 +306,7 @@
                              (storesTurn(Context) ? BodyBytes : 0);
   if (Context.RequestMemory.resize(Copies))
     return std::nullopt;
-  const bool MayFitLater = Memory->canEverHold(Copies);
+  const bool MayFitLater = Memory->canEverHold(BodyBytes + Copies);
   return Error{MayFitLater ? ErrorKind::Overloaded : ErrorKind::BodyTooLarge,
                MayFitLater ? "too little memory is left for the request"
                            : "the request with the turns before it is too long",
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -63,6 +63,10 @@
   MemoryShare RequestMemory;
   /// What the response takes that is received, and what is kept of it.
   MemoryShare ResponseMemory;
+  /// The length of the input of a turn that is stored.
+  std::size_t StoredInputBytes = 0;
+  /// Whether there was too little memory for the response to the last attempt.
+  bool LackedMemory = false;
   /// Of the request as the caller sent it.
   RequestDigest Digest;
   std::set<EndpointId> TriedEndpoints;
@@ -298,10 +302,9 @@
   /// body may have no end.
   Task<Expected<std::string>> readBody(internal::RequestContext &Context,
                                        HttpCall &Call, const HttpHead &Head);
-  /// Whether an attempt that failed with \p Failure says nothing about the
-  /// endpoint, as this process had too little memory for the head of the
-  /// response, or for a body whose length was announced.
-  static bool isOwnFault(const Expected<HttpHead> &Head, const Error &Failure);
+  /// Whether the last attempt failed because others had taken the memory, so
+  /// that it says nothing about the endpoint.
+  bool isOwnFault(const internal::RequestContext &Context) const;
   /// Whether the response states that the request was not run.
   bool isRefusal(const HttpHead &Head) const;
   /// Whether a response may be forwarded to the caller: it is signed by the
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -167,6 +167,7 @@
 
 Task<void> Relay::Impl::serveTurn(RequestContext &Context) {
   std::string Input = storesTurn(Context) ? Context.Body : std::string();
+  Context.StoredInputBytes = Input.size();
   std::optional<Error> Failure = co_await prependChain(Context);
   if (!Failure && !Context.isCancelled()) {
     Failure = co_await reserve(Context);
@@ -251,6 +252,7 @@
       co_await readMatchingHead(Context, *Call, To.Endpoint);
   const int Status = Head ? Head->Status : 0;
   StreamOutcome Outcome = StreamOutcome::Indeterminate;
+  Context.LackedMemory = !Head && Head.error().Kind == ErrorKind::Overloaded;
   if (!Head)
     LogLine("entry.broken_answer")
         .with("request", Context.Metadata.RequestId)
@@ -267,10 +269,10 @@
     recordAnswer(To, Status);
   else if (Context.isCancelled())
     recordSilence(To, SentAt, Head.has_value());
-  else if (Head || !isOwnFault(Head, Head.error()))
+  else if (!isOwnFault(Context))
     Endpoints.onFailure(To.Endpoint, steadyNow());
   const bool IsBroken = Outcome == StreamOutcome::Indeterminate &&
-                        !Context.isCancelled() &&
+                        !Context.isCancelled() && !Context.LackedMemory &&
                         (Call->isEndedByServer() || !Call->isEndMarked());
   if (Outcome == StreamOutcome::Indeterminate)
     Call->abort();
@@ -296,6 +298,9 @@
   if (Head.Status == 200 && HasEvents && isForwardable(Head)) {
     removeHopByHop(Head.Fields);
     Context.Caller.begin(std::move(Head));
+    // It is not sent again once its stream has begun.
+    Context.Body = {};
+    Context.RequestMemory.shrinkTo(Context.StoredInputBytes);
     const Expected<void> Relayed = co_await relayEvents(Context, State, Call);
     if (Relayed)
       co_return StreamOutcome::Finished;
@@ -347,6 +352,8 @@
                                       (*Piece)->size()))
       State.Splitter.feed(**Piece);
     else
+      Context.LackedMemory = true;
+    if (Context.LackedMemory)
       Fault = OutOfMemoryReason;
     while (std::optional<StreamEvent> Event = State.Splitter.next()) {
       if (isHttpHead(*Event)) {
@@ -368,6 +375,7 @@
         if (storesTurn(Context) &&
             !appendWithin(Context.ResponseMemory, State.Output, Event->Data,
                           State.Splitter.bufferBytes())) {
+          Context.LackedMemory = true;
           Fault = OutOfMemoryReason;
           break;
         }
--- a/packages/relay/test/RelayMemoryTest.cpp
+++ b/packages/relay/test/RelayMemoryTest.cpp
@@ -135,6 +135,18 @@
   BOOST_TEST(requestCount() == 0U);
 }
 
+// Guards against ids that are kept beyond their requests.
+BOOST_AUTO_TEST_CASE(ARequestWithALongId) {
+  setResponses({{signedResponse("done")}});
+  const std::string Long(300, 'i');
+  for (const std::vector<HttpField> &Fields :
+       {std::vector<HttpField>{{"Id", Long}},
+        std::vector<HttpField>{{"Id", "a"}, {"Program", Long}},
+        std::vector<HttpField>{{"Id", "a"}, {"Previous", Long}}})
+    BOOST_TEST(sendRequest("/once/x", Fields).Head.Status == 400);
+  BOOST_TEST(requestCount() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ARequestWhoseCopiesFitLater) {
   setResponses({{signedResponse("done")}});
   MemoryShare Others(Account, MemoryUse::Responses);
