--- a/packages/relay/test/PromptCacheTest.cpp
+++ b/packages/relay/test/PromptCacheTest.cpp
@@ -29,6 +29,7 @@
   PromptCache Cache;
   for (int Request = 0; Request < 200; ++Request) {
     std::vector<PromptPart> Prompt;
+    Prompt.reserve(1000);
     for (int Number = 0; Number < 1000; ++Number)
       Prompt.push_back(
           {std::to_string(Request) + "-" + std::to_string(Number), 0});
