Fetch long turns in parts between ledgers

Callers would see: after a ledger lost its disk, or a standby ledger took a place, it never joined while some 32 turns that it asked for in one call were together longer than a frame of a link (64 MB). From then on the quorum had no spare copy, and the next loss made turns unreadable (LOST). The reply also took several times its length in memory at both ledgers.

Cause: handleFetchTurns put the frames of all turns asked for into one reply, and the caller bounded their number only. The receiver closes the connection at the announced length, on each try.

Change: the caller ends its list with an empty name, which says that it asks for the rest itself. The reply then has at least one frame and otherwise at most 1 MB, the limit that chains have (one constant for both). Records come in the order asked for and unknown turns are left out, so turns before the last one in the reply are in it or unknown, turns after it are asked for again, and an empty reply says that the ledger has none of them. A reply without any turn that was asked for is a failed call, so no peer makes the caller ask without end. Ledgers of earlier releases skip the empty name and reply as a whole; a request of theirs, without it, gets the whole, as a part would be taken for all.

Replies to "links" hold no texts and at most 8 records for each turn asked for, and must stay whole: fetchMissedLinks forgets turns not in them.

--- a/packages/quorum/src/LedgerCalls.cpp
+++ b/packages/quorum/src/LedgerCalls.cpp
@@ -13,9 +13,9 @@
 /// of a longer gap is asked for once these are known.
 constexpr std::size_t LinksPerTurn = 8;
 
-/// The limit on the texts of one reply. Entries ask for the rest of a longer
-/// chain.
-constexpr std::size_t MaxChainReplyBytes = 1U << 20U;
+/// The limit on the texts of one reply, which has at least one. The caller asks
+/// for the rest of a longer chain or of more turns.
+constexpr std::size_t MaxReplyTextBytes = 1U << 20U;
 
 /// The limit on programs whose last endpoint is remembered; about one minute of
 /// programs on a busy day.
@@ -184,7 +184,7 @@
       checkView(Request.ViewNumber), {}, newerView(Request.ViewNumber)};
   if (Result.Refusal == LedgerRefusal::None) {
     const Expected<TurnStore::Texts> Chain =
-        Store.storedChain(Request.Turn, MaxChainReplyBytes);
+        Store.storedChain(Request.Turn, MaxReplyTextBytes);
     if (!Chain)
       Result.Refusal = LedgerRefusal::Failed;
     else
@@ -207,9 +207,15 @@
 
 void LedgerNode::Impl::handleFetchTurns(const Json &Body,
                                         const LinkServer::Reply &Answer) {
+  const auto Request = Body.get<FetchTurnsRequest>();
   FetchTurnsResponse Result;
-  for (const TurnId &Turn : Body.get<std::vector<TurnId>>())
+  std::size_t Bytes = 0;
+  for (const TurnId &Turn : Request.Turns)
     if (Expected<std::string> Frame = readFrame(Turn)) {
+      Bytes += Frame->size();
+      if (Request.InParts && Bytes > MaxReplyTextBytes &&
+          !Result.Frames.empty())
+        break;
       Result.Frames.push_back(std::move(*Frame));
     } else if (Frame.error().Kind != ErrorKind::UnknownProgram) {
       Answer(tl::unexpected(Frame.error()));
--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -333,27 +333,40 @@
   co_return **Synced;
 }
 
+std::vector<TurnId>
+LedgerNode::Impl::storeFetched(FetchTurnsResponse Reply,
+                               const std::vector<TurnId> &Asked) {
+  // Turns before the last one that is in the reply are in it or unknown.
+  auto Rest = Reply.Frames.empty() ? Asked.end() : Asked.begin();
+  for (std::string &Frame : Reply.Frames) {
+    const TurnRecord Record = Json::from_cbor(Frame).get<TurnRecord>();
+    const auto Found = std::find(Rest, Asked.end(), Record.Turn);
+    if (Found != Asked.end())
+      Rest = std::next(Found);
+    Store.apply(Record, steadyNow());
+    persistFrame(Record, std::move(Frame), nullptr);
+  }
+  return {Rest, Asked.end()};
+}
+
 Task<void> LedgerNode::Impl::fetchTurns(std::shared_ptr<LinkClient> From,
                                         std::shared_ptr<FetchWork> Work) {
   const auto Self = shared_from_this();
   while (!Work->Failed && Work->Next < Work->Turns.size()) {
     const std::size_t End =
         std::min(Work->Next + TurnsPerCall, Work->Turns.size());
-    const std::vector<TurnId> Part(
+    std::vector<TurnId> Part(
         Work->Turns.begin() + static_cast<std::ptrdiff_t>(Work->Next),
         Work->Turns.begin() + static_cast<std::ptrdiff_t>(End));
     Work->Next = End;
-    const Expected<Json> Fetched =
-        co_await callLink(Io, From, calls::FetchTurns, encodeBody(Part),
-                          steadyNow() + CallTimeout);
-    if (!Fetched) {
-      Work->Failed = true;
-      break;
-    }
-    for (std::string &Frame : Fetched->get<FetchTurnsResponse>().Frames) {
-      const TurnRecord Record = Json::from_cbor(Frame).get<TurnRecord>();
-      Store.apply(Record, steadyNow());
-      persistFrame(Record, std::move(Frame), nullptr);
+    while (!Work->Failed && !Part.empty()) {
+      const LinkBody Request = encodeBody(FetchTurnsRequest{Part, true});
+      const Expected<Json> Fetched = co_await callLink(
+          Io, From, calls::FetchTurns, Request, steadyNow() + CallTimeout);
+      const std::size_t Asked = Part.size();
+      if (Fetched)
+        Part = storeFetched(Fetched->get<FetchTurnsResponse>(), Part);
+      Work->Failed = Work->Failed || Part.size() == Asked;
     }
   }
   --Work->RunningWorkers;
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -157,6 +157,10 @@
   /// Fetches all records that \p Source has and this one lacks. Returns whether
   /// they are all on disk.
   Task<bool> fetchFromMember(RecordSource Source, View Of);
+  /// Stores the records of \p Reply and returns the turns of \p Asked that it
+  /// does not tell about.
+  std::vector<TurnId> storeFetched(FetchTurnsResponse Reply,
+                                   const std::vector<TurnId> &Asked);
   /// A worker: fetches turns of \p Work until all are taken or a call fails.
   Task<void> fetchTurns(std::shared_ptr<LinkClient> From,
                         std::shared_ptr<FetchWork> Work);
--- /dev/null
+++ b/packages/quorum/test/LedgerFetchTest.cpp
@@ -0,0 +1,127 @@
+#include "QuorumFixture.h"
+
+using namespace tamarack;
+using namespace tamarack::testing;
+
+namespace {
+
+/// Together, Turns texts of this length are longer than a frame of a link.
+constexpr std::size_t LongInputBytes = 4U << 20U;
+constexpr int Turns = 17;
+
+struct Fixture : QuorumFixture {
+  static TurnId name(int Number) { return TurnId(std::to_string(Number)); }
+
+  void storeLongTurns(std::size_t InputBytes) {
+    for (int Number = 0; Number < Turns; ++Number)
+      BOOST_REQUIRE(storeRecord(
+          {ProgramId("p"),
+           name(Number),
+           {10, true},
+           std::make_shared<const StoredTurn>(StoredTurn{
+               name(Number), {}, std::string(InputBytes, 'x'), "out", 60s}),
+           {}}));
+  }
+
+  /// Returns the frames that a ledger replies with.
+  std::vector<std::string> fetch(int Ledger, const FetchTurnsRequest &Request) {
+    const auto Link = LinkClient::make(
+        Io, options(Ledger, /*FirstStart=*/false).Address, LinkOptions());
+    const Expected<Json> Answer = await(callLink(
+        Io, Link, calls::FetchTurns, encodeBody(Request), steadyNow() + 5s));
+    BOOST_REQUIRE(Answer);
+    return Answer->get<FetchTurnsResponse>().Frames;
+  }
+};
+
+TurnId turnOf(const std::string &Frame) {
+  return Json::from_cbor(Frame).get<TurnRecord>().Turn;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ALedger)
+BOOST_AUTO_TEST_SUITE(ThatHasLostItsDisk)
+
+// Guards against a reply that no link can transport: the ledger asks for it
+// again on each try, never joins, and the quorum goes on without a spare copy.
+BOOST_FIXTURE_TEST_CASE(FetchesTurnsThatTogetherAreLongerThanALinkFrame,
+                        Fixture) {
+  startAll();
+  useCurrentView();
+  // The two others hold all of them.
+  stop(3);
+  storeLongTurns(LongInputBytes);
+  start(3);
+  wipe(1);
+  start(1);
+  until([this] { return joinedCount() == 3; });
+  BOOST_TEST(Nodes[1]->status().Turns == std::size_t(Turns));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ThatIsAskedForTurns)
+
+// Guards against the memory that a reply with many long texts takes at both
+// ends of the link.
+BOOST_FIXTURE_TEST_CASE(RepliesInPartsInTheOrderAskedFor, Fixture) {
+  constexpr std::size_t InputBytes = 300U << 10U;
+  constexpr std::size_t MaxPartBytes = 1U << 20U;
+  startAll();
+  useCurrentView();
+  storeLongTurns(InputBytes);
+  FetchTurnsRequest Request{{}, /*InParts=*/true};
+  for (int Number = 0; Number < Turns; ++Number)
+    Request.Turns.push_back(name(Number));
+  int Fetched = 0;
+  while (Fetched < Turns) {
+    const std::vector<std::string> Frames =
+        fetch(ledgersWithText().front(), Request);
+    BOOST_REQUIRE(!Frames.empty());
+    std::size_t Bytes = 0;
+    for (const std::string &Frame : Frames) {
+      Bytes += Frame.size();
+      BOOST_TEST(turnOf(Frame).text() == name(Fetched++).text());
+    }
+    BOOST_TEST(Bytes <= MaxPartBytes);
+    Request.Turns.erase(Request.Turns.begin(),
+                        Request.Turns.begin() +
+                            static_cast<std::ptrdiff_t>(Frames.size()));
+  }
+}
+
+// Guards against a turn that is longer than a part and is never fetched.
+BOOST_FIXTURE_TEST_CASE(RepliesWithAtLeastOneThatItHas, Fixture) {
+  startAll();
+  useCurrentView();
+  storeLongTurns(LongInputBytes);
+  const std::vector<std::string> Frames =
+      fetch(ledgersWithText().front(),
+            {{TurnId("nowhere"), name(3), name(4)}, /*InParts=*/true});
+  BOOST_REQUIRE(Frames.size() == 1U);
+  BOOST_TEST(turnOf(Frames.front()).text() == name(3).text());
+}
+
+// Guards against turns that are taken for sent although they are not, or that
+// are asked for without end.
+BOOST_FIXTURE_TEST_CASE(RepliesWithNoneOnlyIfAllAreUnknown, Fixture) {
+  startAll();
+  BOOST_TEST(fetch(1, {{TurnId("nowhere"), TurnId("neither")}, true}).empty());
+}
+
+// Guards against a ledger of an earlier release that takes the first part for
+// the whole, and joins without the rest.
+BOOST_FIXTURE_TEST_CASE(RepliesAsAWholeToOneThatDoesNotAskForTheRest, Fixture) {
+  startAll();
+  useCurrentView();
+  storeLongTurns(300U << 10U);
+  FetchTurnsRequest Request;
+  for (int Number = 0; Number < Turns; ++Number)
+    Request.Turns.push_back(name(Number));
+  BOOST_TEST(fetch(ledgersWithText().front(), Request).size() ==
+             std::size_t(Turns));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/turns/include/tamarack/turns/Messages.h
+++ b/packages/turns/include/tamarack/turns/Messages.h
@@ -25,7 +25,7 @@
 inline constexpr const char *Adopt = "adopt";
 /// View to ListRecordsResponse: adopts the view, then lists all records.
 inline constexpr const char *ListRecords = "names";
-/// Array of TurnId to FetchTurnsResponse: reads the records of these turns.
+/// FetchTurnsRequest to FetchTurnsResponse: reads the records of these turns.
 inline constexpr const char *FetchTurns = "turns";
 /// {"view": View, "from": ADDRESS, "folder": FolderId} to AdoptResponse: adopts
 /// the view and fetches all missing records from the ledger with that folder at
@@ -194,6 +194,16 @@
   std::optional<View> NewerView;
 };
 
+/// An array of TurnId, which ends with an empty one if InParts is set: earlier
+/// releases skip it as a turn that they do not have, and reply as a whole.
+struct FetchTurnsRequest {
+  std::vector<TurnId> Turns;
+  /// Whether the caller asks for the rest of a reply that is not complete.
+  /// Records come in the order of Turns, those that are unknown are left out,
+  /// and a reply is empty only if all are unknown.
+  bool InParts = false;
+};
+
 struct FetchTurnsResponse {
   /// TurnRecords in their journal encoding, so records are copied from disk to
   /// disk without being encoded again.
@@ -229,6 +239,8 @@
 void from_json(const Json &Value, PingResponse &To);
 void to_json(Json &Value, const ListRecordsResponse &From);
 void from_json(const Json &Value, ListRecordsResponse &To);
+void to_json(Json &Value, const FetchTurnsRequest &From);
+void from_json(const Json &Value, FetchTurnsRequest &To);
 void to_json(Json &Value, const FetchTurnsResponse &From);
 void from_json(const Json &Value, FetchTurnsResponse &To);
 void to_json(Json &Value, const LifetimesResponse &From);
--- a/packages/turns/src/Messages.cpp
+++ b/packages/turns/src/Messages.cpp
@@ -211,6 +211,19 @@
   readOptional(Value, "newer", To.NewerView);
 }
 
+void to_json(Json &Value, const FetchTurnsRequest &From) {
+  Value = From.Turns;
+  if (From.InParts)
+    Value.push_back(TurnId());
+}
+
+void from_json(const Json &Value, FetchTurnsRequest &To) {
+  Value.get_to(To.Turns);
+  To.InParts = !To.Turns.empty() && To.Turns.back().empty();
+  if (To.InParts)
+    To.Turns.pop_back();
+}
+
 void to_json(Json &Value, const FetchTurnsResponse &From) {
   Value = Json::array();
   for (const std::string &Frame : From.Frames)
