Let compaction wait for the disk

Callers would see: a ledger with long texts passes its memory limit while it writes its live records to a new segment, and is killed with all that it holds.

Cause: compact() bounded the records that it writes before it pauses by their number (64) and the pause by time. Each brings its text back from the disk, and no pause depends on whether the disk has taken the ones before.

Change: the disk thread counts the bytes of frames from write() until their callbacks run; compaction goes on once 1 MB or less of them is left. Short records stay below that and go as before. The count is in LedgerStatus.

--- a/packages/quorum/include/tamarack/quorum/DiskThread.h
+++ b/packages/quorum/include/tamarack/quorum/DiskThread.h
@@ -11,6 +11,7 @@
 
 #include <condition_variable>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -37,6 +38,9 @@
   /// Removes all segments before the current one. \p Done gets a location with
   /// the number of the current segment.
   void removeOldSegments(WriteCallback Done);
+  /// The bytes of all frames whose callbacks have not run yet. Called on the
+  /// loop, as write() is.
+  std::size_t queuedBytes() const { return *QueuedBytes; }
 
 private:
   enum class Operation { Write, Roll, RemoveOldSegments };
@@ -55,6 +59,9 @@
   std::mutex Mutex;
   std::condition_variable WorkAvailable;
   std::vector<Request> Queue;
+  /// Used on the loop only, also by callbacks that run after this object.
+  const std::shared_ptr<std::size_t> QueuedBytes =
+      std::make_shared<std::size_t>(0);
   bool Stopping = false;
   std::thread Thread;
 };
--- a/packages/quorum/include/tamarack/quorum/LedgerNode.h
+++ b/packages/quorum/include/tamarack/quorum/LedgerNode.h
@@ -83,6 +83,8 @@
   std::uint64_t RecordsStored = 0;
   /// The number of records refused because of their view.
   std::uint64_t Refused = 0;
+  /// The bytes of records that are being written to disk.
+  std::size_t QueuedBytes = 0;
 };
 
 class LedgerNode {
--- a/packages/quorum/src/DiskThread.cpp
+++ b/packages/quorum/src/DiskThread.cpp
@@ -17,6 +17,7 @@
 }
 
 void DiskThread::write(std::string Frame, WriteCallback Done) {
+  *QueuedBytes += Frame.size();
   enqueue({Operation::Write, std::move(Frame), std::move(Done)});
 }
 
@@ -51,6 +52,7 @@
 
 void DiskThread::execute(std::vector<Request> Requests) {
   std::vector<std::string> Frames;
+  std::size_t Bytes = 0;
   std::vector<Expected<FrameLocation>> Results;
   Results.reserve(Requests.size());
   const auto Flush = [&] {
@@ -64,6 +66,7 @@
   };
   for (Request &Next : Requests) {
     if (Next.Kind == Operation::Write) {
+      Bytes += Next.Frame.size();
       Frames.push_back(std::move(Next.Frame));
       continue;
     }
@@ -78,12 +81,13 @@
       Results.push_back(tl::unexpected(Done.error()));
   }
   Flush();
-  asio::post(Io,
-             [Requests = std::move(Requests), Results = std::move(Results)] {
-               for (std::size_t Index = 0; Index < Requests.size(); ++Index)
-                 if (Requests[Index].Done)
-                   Requests[Index].Done(Results[Index]);
-             });
+  asio::post(Io, [Requests = std::move(Requests), Results = std::move(Results),
+                  Bytes, Queued = QueuedBytes] {
+    *Queued -= Bytes;
+    for (std::size_t Index = 0; Index < Requests.size(); ++Index)
+      if (Requests[Index].Done)
+        Requests[Index].Done(Results[Index]);
+  });
 }
 
 } // namespace tamarack
--- a/packages/quorum/src/LedgerNode.cpp
+++ b/packages/quorum/src/LedgerNode.cpp
@@ -8,6 +8,10 @@
 constexpr Duration MaintenanceInterval = std::chrono::seconds(1);
 /// Records that compaction writes before it pauses, so that other work can run.
 constexpr std::size_t RecordsPerBatch = 64;
+/// What may wait for the disk before compaction pauses, and for how long it
+/// does.
+constexpr std::size_t MaxQueuedDiskBytes = 1U << 20U;
+constexpr Duration DiskPause = std::chrono::milliseconds(10);
 
 } // namespace
 
@@ -88,6 +92,11 @@
   });
 }
 
+Task<void> LedgerNode::Impl::waitForDisk() {
+  while (Disk->queuedBytes() > MaxQueuedDiskBytes)
+    co_await pause(Io, DiskPause);
+}
+
 Task<void> LedgerNode::Impl::runMaintenance() {
   const auto Self = shared_from_this();
   while (!Stopped) {
@@ -109,8 +118,9 @@
       persist(*Record, nullptr);
     else if (Record.error().Kind != ErrorKind::UnknownProgram)
       co_return; // Keep the old segments, which hold the unreadable text.
+    co_await waitForDisk();
     if (++Processed % RecordsPerBatch == 0)
-      co_await pause(Io, std::chrono::milliseconds(10));
+      co_await pause(Io, DiskPause);
   }
   Disk->removeOldSegments(
       [Weak = weak_from_this()](const Expected<FrameLocation> &Done) {
@@ -163,7 +173,8 @@
           Inner->Store.textBytes(),
           Inner->Store.missedTurnCount(),
           Inner->RecordsStored,
-          Inner->Refused};
+          Inner->Refused,
+          Inner->Disk ? Inner->Disk->queuedBytes() : 0};
 }
 
 void LedgerNode::stop() {
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -186,6 +186,9 @@
   /// \p Frame is the journal encoding of \p Record.
   void persistFrame(const TurnRecord &Record, std::string Frame,
                     DiskThread::WriteCallback Done);
+  /// Returns once little is queued for the disk, so that texts that are copied
+  /// do not gather in memory.
+  Task<void> waitForDisk();
   Task<void> runMaintenance();
   Task<void> compact();
 };
--- a/packages/quorum/test/LedgerFetchTest.cpp
+++ b/packages/quorum/test/LedgerFetchTest.cpp
@@ -123,5 +123,30 @@
              std::size_t(Turns));
 }
 
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE(ThatWritesManyLongTurns)
+
+// Guards against the memory that texts take which are read from one segment
+// faster than they are written to the next.
+BOOST_FIXTURE_TEST_CASE(ToANewSegmentQueuesFewOfThemAtATime, Fixture) {
+  CompactAfterBytes = (Turns - 2) * LongInputBytes;
+  startAll();
+  useCurrentView();
+  // The two others hold all of them.
+  stop(3);
+  storeLongTurns(LongInputBytes);
+  std::size_t MostQueued = 0;
+  until([&] {
+    bool HasOldSegment = false;
+    for (const int Number : {1, 2}) {
+      MostQueued = std::max(MostQueued, Nodes[Number]->status().QueuedBytes);
+      HasOldSegment = HasOldSegment || fs::exists(folder(Number) / "segment-1");
+    }
+    return !HasOldSegment;
+  });
+  BOOST_TEST(MostQueued < 3 * LongInputBytes);
+  BOOST_TEST(Nodes[1]->status().Turns == std::size_t(Turns));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 BOOST_AUTO_TEST_SUITE_END()
