Release the buffers of a link after a long frame

Callers would see: one long text costs each process on its way, entries and ledgers, up to three times its length for as long as its links stand, for each link that carried one, until the process passes its memory limit and is killed.

Cause: the buffer of a connection grows with the longest frame, by doubling, and was never released; the same for the output, which is written from two strings that are swapped and cleared.

Change: a buffer of more than 128 KB is released once what it holds is shorter. The limit of a frame is unchanged.

--- a/packages/net/src/LinkFrame.cpp
+++ b/packages/net/src/LinkFrame.cpp
@@ -10,6 +10,8 @@
 
 /// The exchange number and the length byte of the name.
 constexpr std::size_t FrameHeaderBytes = sizeof(std::uint64_t) + 1;
+/// A buffer with more capacity is not kept after a long frame.
+constexpr std::size_t MaxKeptBufferBytes = 128U << 10U;
 
 template <typename T> void put(std::string &Out, T Value) {
   Out.append(reinterpret_cast<const char *>(&Value), sizeof Value);
@@ -70,20 +72,19 @@
 }
 
 Task<void> LinkConnection::readFrames() {
-  std::string Text;
   std::size_t Used = 0;
   std::size_t Filled = 0;
   constexpr std::size_t ReadBytes = 16U << 10U;
   while (!Closed) {
     while (Filled - Used >= sizeof(std::uint32_t)) {
       std::uint32_t Length = 0;
-      std::memcpy(&Length, Text.data() + Used, sizeof Length);
+      std::memcpy(&Length, Received.data() + Used, sizeof Length);
       if (Length > MaxFrameBytes)
         co_return;
       if (Filled - Used < sizeof Length + Length)
         break;
-      Expected<LinkFrame> Frame =
-          parse(std::string_view(Text).substr(Used + sizeof Length, Length));
+      Expected<LinkFrame> Frame = parse(
+          std::string_view(Received).substr(Used + sizeof Length, Length));
       Used += sizeof Length + Length;
       if (!Frame)
         co_return;
@@ -92,15 +93,19 @@
         co_return;
     }
     // Moves the start of an incomplete frame, if there is one, to the front.
-    std::copy(Text.begin() + static_cast<std::ptrdiff_t>(Used),
-              Text.begin() + static_cast<std::ptrdiff_t>(Filled), Text.begin());
+    std::copy(Received.begin() + static_cast<std::ptrdiff_t>(Used),
+              Received.begin() + static_cast<std::ptrdiff_t>(Filled),
+              Received.begin());
     Filled -= Used;
     Used = 0;
-    if (Text.size() < Filled + ReadBytes)
-      Text.resize(Filled + ReadBytes);
+    if (Received.capacity() > MaxKeptBufferBytes &&
+        Filled + ReadBytes <= MaxKeptBufferBytes)
+      std::string(Received, 0, Filled).swap(Received); // Assignment keeps it.
+    if (Received.size() < Filled + ReadBytes)
+      Received.resize(Filled + ReadBytes);
     ErrorCode Failure;
     const std::size_t Count = co_await Socket.async_read_some(
-        asio::buffer(Text.data() + Filled, Text.size() - Filled),
+        asio::buffer(Received.data() + Filled, Received.size() - Filled),
         storeErrorIn(Failure));
     if (Failure)
       co_return;
@@ -128,6 +133,8 @@
     co_await asio::async_write(Socket, asio::buffer(Writing),
                                storeErrorIn(Failure));
     Writing.clear();
+    if (Writing.capacity() > MaxKeptBufferBytes)
+      std::string().swap(Writing);
     if (Failure)
       close();
   }
--- a/packages/net/src/LinkFrame.h
+++ b/packages/net/src/LinkFrame.h
@@ -50,6 +50,11 @@
   bool hasUnreadBytes() const;
   std::size_t queuedBytes() const { return Queue.size() + Writing.size(); }
 
+  /// The memory that the buffers take.
+  std::size_t bufferBytes() const {
+    return Received.capacity() + Queue.capacity() + Writing.capacity();
+  }
+
 private:
   Task<void> readFrames();
   Task<void> writeFrames();
@@ -58,6 +63,7 @@
   Loop &Io;
   Tcp::socket Socket;
   Signal Queued;
+  std::string Received;
   std::string Queue;
   std::string Writing;
   FrameHandler OnFrame;
