--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -60,7 +60,7 @@
                          std::string(InputBytes, 'x'), "out", 60s}),
                      {}}));
   QuorumOptions Options;
-  Options.MaxChainBytes = 2 * Turns * InputBytes;
+  Options.MaxChainBytes = 2 * InputBytes * std::size_t(Turns);
   QuorumClient Reader(Io, Options);
   Reader.setView(Views.Current);
   const Expected<TurnChain> Chain =
