Decide once that a read or a stream goes on without memory

Callers of growIfFull() both cleared the failure that it had dealt with, and a stream's reason was set at each place that lacked memory, though a flag tells it.

--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -194,10 +194,7 @@
     const BufferGrowth Growth =
         internal::growIfFull(Connection->Buffer, Failure, MaxHeadBytes, Memory);
     OutOfMemory = Growth == BufferGrowth::OutOfMemory;
-    if (Growth != BufferGrowth::Grown)
-      return false;
-    Failure = {};
-    return true;
+    return Growth == BufferGrowth::Grown;
   }
 
   tl::unexpected<Error> readFailure(const ErrorCode &Failure) {
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -305,10 +305,7 @@
   const BufferGrowth Growth =
       growIfFull(Buffer, Failure, MaxBytes, Memory, BodyBytes);
   OutOfMemory = Growth == BufferGrowth::OutOfMemory;
-  if (Growth != BufferGrowth::Grown)
-    return false;
-  Failure = {};
-  return true;
+  return Growth == BufferGrowth::Grown;
 }
 
 int HttpSession::refusalStatus(const ErrorCode &Failure,
--- a/packages/net/src/ReadBuffer.cpp
+++ b/packages/net/src/ReadBuffer.cpp
@@ -5,9 +5,9 @@
 
 namespace tamarack::internal {
 
-BufferGrowth growIfFull(boost::beast::flat_buffer &Buffer,
-                        const ErrorCode &Failure, std::size_t MaxBytes,
-                        MemoryShare &Share, std::size_t OtherBytes) {
+BufferGrowth growIfFull(boost::beast::flat_buffer &Buffer, ErrorCode &Failure,
+                        std::size_t MaxBytes, MemoryShare &Share,
+                        std::size_t OtherBytes) {
   if (Failure != boost::beast::http::error::buffer_overflow)
     return BufferGrowth::NotNeeded;
   if (Buffer.max_size() >= MaxBytes)
@@ -16,6 +16,7 @@
   if (!Share.resize(Next + OtherBytes))
     return BufferGrowth::OutOfMemory;
   Buffer.max_size(Next);
+  Failure = {};
   return BufferGrowth::Grown;
 }
 
--- a/packages/net/src/ReadBuffer.h
+++ b/packages/net/src/ReadBuffer.h
@@ -36,12 +36,12 @@
   OutOfMemory,
 };
 
-/// Doubles the limit of \p Buffer up to \p MaxBytes if a read ended with
-/// \p Failure because the buffer was full. \p Share takes that limit and
-/// \p OtherBytes besides.
-BufferGrowth growIfFull(boost::beast::flat_buffer &Buffer,
-                        const ErrorCode &Failure, std::size_t MaxBytes,
-                        MemoryShare &Share, std::size_t OtherBytes = 0);
+/// Doubles the limit of \p Buffer up to \p MaxBytes and clears \p Failure if a
+/// read ended with it because the buffer was full. \p Share takes that limit
+/// and \p OtherBytes besides.
+BufferGrowth growIfFull(boost::beast::flat_buffer &Buffer, ErrorCode &Failure,
+                        std::size_t MaxBytes, MemoryShare &Share,
+                        std::size_t OtherBytes = 0);
 
 /// Frees what a large buffer with little in it does not need.
 void freeIfLarge(boost::beast::flat_buffer &Buffer);
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -353,8 +353,6 @@
       State.Splitter.feed(**Piece);
     else
       Context.LackedMemory = true;
-    if (Context.LackedMemory)
-      Fault = OutOfMemoryReason;
     while (std::optional<StreamEvent> Event = State.Splitter.next()) {
       if (isHttpHead(*Event)) {
         Fault = "another response follows in the stream";
@@ -376,12 +374,13 @@
             !appendWithin(Context.ResponseMemory, State.Output, Event->Data,
                           State.Splitter.bufferBytes())) {
           Context.LackedMemory = true;
-          Fault = OutOfMemoryReason;
           break;
         }
       }
       Ready += Event->Text;
     }
+    if (Fault == nullptr && Context.LackedMemory)
+      Fault = OutOfMemoryReason;
     if (Fault == nullptr && State.Splitter.partialBytes() > MaxEventBytes)
       Fault = "an event is too long";
     if (!Ready.empty()) {
