--- a/packages/net/include/tamarack/net/HttpServer.h
+++ b/packages/net/include/tamarack/net/HttpServer.h
@@ -135,6 +135,9 @@
   /// \p Callback is called once if the caller disconnects while the handler
   /// runs, and at once if it already has.
   void onCallerDisconnect(std::function<void()> Callback);
+  /// Whether the caller sends nothing more. It may have closed the connection,
+  /// or still read.
+  bool hasCallerEndedSending() const;
 
 private:
   internal::HttpSession &Session;
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -38,6 +38,9 @@
   else
     Session.DisconnectCallback = std::move(Callback);
 }
+bool HttpExchange::hasCallerEndedSending() const {
+  return Session.CallerEndedSending;
+}
 
 void HttpServer::Impl::accepted(Tcp::socket Socket) {
   auto Session = std::make_shared<internal::HttpSession>(shared_from_this(),
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -373,6 +373,7 @@
     char Next = 0;
     const ssize_t Count =
         ::recv(Self->Socket.native_handle(), &Next, 1, MSG_PEEK | MSG_DONTWAIT);
+    Self->CallerEndedSending = Count == 0;
     if (Count == 0 || (Count < 0 && errno != EAGAIN))
       Self->handleDisconnect();
     // After the end of the response it would be an ordinary next request.
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -111,6 +111,8 @@
   bool ResponseStarted = false;
   bool CallerDisconnected = false;
   std::function<void()> DisconnectCallback;
+  /// Whether a FIN of the caller has arrived behind its last request.
+  bool CallerEndedSending = false;
 
 private:
   using Parser = boost::beast::http::request_parser<PieceBody>;
--- a/packages/net/test/RawClient.cpp
+++ b/packages/net/test/RawClient.cpp
@@ -73,6 +73,14 @@
   }
 }
 
+void RawClient::shutdownSend() { ::shutdown(Descriptor, SHUT_WR); }
+
+void RawClient::reset() {
+  const linger AtOnce{1, 0};
+  ::setsockopt(Descriptor, SOL_SOCKET, SO_LINGER, &AtOnce, sizeof AtOnce);
+  close();
+}
+
 void RawClient::close() {
   if (Descriptor >= 0)
     ::close(std::exchange(Descriptor, -1));
--- a/packages/net/test/RawClient.h
+++ b/packages/net/test/RawClient.h
@@ -34,7 +34,11 @@
   bool isEnded() const { return Ended; }
   /// Whether receive() has found the connection reset.
   bool isReset() const { return Reset; }
+  /// Sends a FIN and leaves the other direction open.
+  void shutdownSend();
   void close();
+  /// Closes the connection with a reset.
+  void reset();
 
 private:
   void receiveWith(int Flags, std::size_t MaxBytes = SIZE_MAX);
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -280,7 +280,8 @@
       .with("runs", Context.PossibleRuns)
       .with("reason", Failure.Message)
       .with("took_ms", steadyNow() - Context.Caller.requestReadAt())
-      .with("left", Context.CallerDisconnected ? 1 : 0);
+      .with("left", Context.CallerDisconnected ? 1 : 0)
+      .with("sending_ended", Context.Caller.hasCallerEndedSending() ? 1 : 0);
   Metrics.countRefusal(Failure.Kind);
   if (Context.CallerDisconnected) {
     Metrics.countDisconnectedCaller();
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -209,6 +209,7 @@
         .with("events", State.Events)
         .with("expired", Context.Expired ? 1 : 0)
         .with("left", Context.CallerDisconnected ? 1 : 0)
+        .with("sending_ended", Context.Caller.hasCallerEndedSending() ? 1 : 0)
         .with("took_ms", steadyNow() - Context.Caller.requestReadAt());
     Context.Caller.abort();
     co_return;
