Answer callers that end their sending side and read on

Cause: HttpSession::watchForDisconnect() took a FIN for the end of the caller. A FIN says that nothing more is sent, not that nothing is read; pipelining treated it that way already. The relay then cancelled the call and wrote nothing.

A call that may not be repeated goes on; what may be given up goes on for 250 ms, a stream for as long again after each event, and without limit once the caller has acknowledged something that was written after its FIN, which a closed connection never does. Whatever is given up is answered before the connection is closed. A reset or a failed write is still the end of all work.

--- a/packages/net/include/tamarack/net/HttpServer.h
+++ b/packages/net/include/tamarack/net/HttpServer.h
@@ -6,8 +6,11 @@
 ///   Server.listen("127.0.0.1:8080");
 ///
 /// The whole request is read before its handler runs. While the handler runs,
-/// the server watches the connection and reports at once if the caller closes
-/// it. If a handler returns without a response, the connection is closed.
+/// the server watches the connection and reports at once if the caller resets
+/// it or ends its sending side. A caller that has ended its sending side gets
+/// the responses to what it has sent: it may still read, which shows only when
+/// something is written. If a handler returns without a response, the
+/// connection is closed.
 ///
 /// If the server has a memory account, what its requests take counts there from
 /// their first byte to the end of their handler. A request for which too little
@@ -131,6 +134,7 @@
   /// reads what was sent and sees that a started response is incomplete.
   void abort();
 
+  /// Whether the connection is lost: it was reset, or a write has failed.
   bool isCallerDisconnected() const;
   /// \p Callback is called once if the caller disconnects while the handler
   /// runs, and at once if it already has.
@@ -138,6 +142,12 @@
   /// Whether the caller sends nothing more. It may have closed the connection,
   /// or still read.
   bool hasCallerEndedSending() const;
+  /// \p Callback is called once if the caller ends its sending side while the
+  /// handler runs, and at once if it already has.
+  void onCallerEndOfSending(std::function<void()> Callback);
+  /// Whether the caller has acknowledged some of what was written since it
+  /// ended its sending side, so that it had not closed the connection then.
+  bool isCallerKnownToRead() const;
 
 private:
   internal::HttpSession &Session;
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -41,6 +41,15 @@
 bool HttpExchange::hasCallerEndedSending() const {
   return Session.CallerEndedSending;
 }
+void HttpExchange::onCallerEndOfSending(std::function<void()> Callback) {
+  if (Session.CallerEndedSending && Callback)
+    Callback();
+  else
+    Session.EndOfSendingCallback = std::move(Callback);
+}
+bool HttpExchange::isCallerKnownToRead() const {
+  return Session.isCallerKnownToRead();
+}
 
 void HttpServer::Impl::accepted(Tcp::socket Socket) {
   auto Session = std::make_shared<internal::HttpSession>(shared_from_this(),
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -102,12 +102,12 @@
 /// The kernel takes the next part only when much of its buffer is free, which a
 /// caller that reads slowly needs long for.
 void HttpSession::extendIfCallerReads(TimePoint Now) {
-  int Queued = 0;
-  if (::ioctl(Socket.native_handle(), SIOCOUTQ, &Queued) != 0)
+  const std::optional<std::size_t> Queued = unacknowledgedBytes();
+  if (!Queued)
     return;
-  if (Queued < QueuedBytes)
+  if (*Queued < QueuedBytes)
     Deadline = Now + Server->Limits.ResponseWriteTimeout;
-  QueuedBytes = Queued;
+  QueuedBytes = *Queued;
 }
 
 TimePoint HttpSession::idleDeadline(TimePoint Now) const {
@@ -157,6 +157,21 @@
   return static_cast<std::size_t>(Count);
 }
 
+std::optional<std::size_t> HttpSession::unacknowledgedBytes() {
+  int Count = 0;
+  if (::ioctl(Socket.native_handle(), SIOCOUTQ, &Count) != 0)
+    return std::nullopt;
+  return static_cast<std::size_t>(Count);
+}
+
+/// A closed connection acknowledges nothing: it is reset by what arrives.
+bool HttpSession::isCallerKnownToRead() {
+  if (CallerDisconnected || BytesAfterEndOfSending == 0)
+    return false;
+  const std::optional<std::size_t> Queued = unacknowledgedBytes();
+  return Queued && *Queued < BytesAfterEndOfSending;
+}
+
 Task<void> HttpSession::run() {
   ReadOutcome Outcome = ReadOutcome::Complete;
   while (!Server->Closed) {
@@ -346,12 +361,13 @@
   PendingHead.clear();
   Phase = SessionPhase::Answering;
   HasCarriedRequest = true;
-  watchForDisconnect();
+  watchCaller();
   HttpExchange Exchange(*this);
   co_await Server->Handle(Exchange);
   DisconnectCallback = nullptr;
+  EndOfSendingCallback = nullptr;
   if (Watching) {
-    ErrorCode Ignored; // Only the wait of watchForDisconnect() is pending.
+    ErrorCode Ignored; // Only the wait that watches the caller is pending.
     Socket.cancel(Ignored);
   }
   freeIfLarge(Buffer);
@@ -359,7 +375,7 @@
   Memory.shrinkTo(std::min(Memory.size(), Buffer.capacity()));
 }
 
-void HttpSession::watchForDisconnect() {
+void HttpSession::watchCaller() {
   // If bytes of the next request have arrived, the caller is still connected.
   Pipelines = Pipelines || Buffer.size() > 0;
   if (Buffer.size() > 0 || Watching)
@@ -373,8 +389,9 @@
     char Next = 0;
     const ssize_t Count =
         ::recv(Self->Socket.native_handle(), &Next, 1, MSG_PEEK | MSG_DONTWAIT);
-    Self->CallerEndedSending = Count == 0;
-    if (Count == 0 || (Count < 0 && errno != EAGAIN))
+    if (Count == 0)
+      Self->handleEndOfSending();
+    else if (Count < 0 && errno != EAGAIN)
       Self->handleDisconnect();
     // After the end of the response it would be an ordinary next request.
     else if (!Self->ResponseSent)
@@ -382,6 +399,23 @@
   });
 }
 
+void HttpSession::watchForDisconnect() {
+  Watching = true;
+  Socket.async_wait(Tcp::socket::wait_error,
+                    [Self = shared_from_this()](const ErrorCode &Cancelled) {
+                      Self->Watching = false;
+                      if (!Cancelled)
+                        Self->handleDisconnect();
+                    });
+}
+
+void HttpSession::handleEndOfSending() {
+  CallerEndedSending = true;
+  watchForDisconnect();
+  if (const auto Callback = std::exchange(EndOfSendingCallback, nullptr))
+    Callback();
+}
+
 void HttpSession::handleDisconnect() {
   if (std::exchange(CallerDisconnected, true))
     return;
@@ -393,6 +427,7 @@
   if (CallerDisconnected || Aborted || !Socket.is_open())
     co_return false;
   const TimePoint ReadDeadline = Deadline;
+  const bool IsAfterEndOfSending = CallerEndedSending;
   Writing = true;
   const std::string Head = std::exchange(PendingHead, {});
   std::string_view EndOfHead;
@@ -410,11 +445,14 @@
     return Failed ? 0 : MaxWriteBytes;
   };
   ErrorCode Failure;
-  co_await asio::async_write(Socket, Parts, MaxNextPart, storeErrorIn(Failure));
+  const std::size_t Written = co_await asio::async_write(
+      Socket, Parts, MaxNextPart, storeErrorIn(Failure));
   Writing = false;
   Deadline = ReadDeadline;
   if (Failure && !Aborted)
     handleDisconnect();
+  if (IsAfterEndOfSending)
+    BytesAfterEndOfSending += Written;
   co_return !Failure;
 }
 
@@ -424,6 +462,8 @@
 /// sends meanwhile has no answer, so a connection on which it does not wait for
 /// answers ends while it is idle, except if its requests are refused anyway.
 bool HttpSession::isLastResponse() {
+  if (CallerEndedSending)
+    return true;
   if (!Server->Draining && !CloseRequested)
     return false;
   if (hasUnread()) {
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -103,6 +103,7 @@
   Task<bool> sendChunk(std::string_view Data);
   Task<bool> end();
   void abort();
+  bool isCallerKnownToRead();
   /// Closes the connection without waiting for the caller.
   void close();
 
@@ -113,6 +114,7 @@
   std::function<void()> DisconnectCallback;
   /// Whether a FIN of the caller has arrived behind its last request.
   bool CallerEndedSending = false;
+  std::function<void()> EndOfSendingCallback;
 
 private:
   using Parser = boost::beast::http::request_parser<PieceBody>;
@@ -135,11 +137,18 @@
   Task<void> linger(bool HoldsRequests);
   /// Ends the server's direction of the connection, once.
   ErrorCode endSending();
+  /// Waits until the caller sends more, ends its sending side or disconnects.
+  void watchCaller();
+  /// Waits until a caller that has ended its sending side disconnects.
   void watchForDisconnect();
+  void handleEndOfSending();
   void handleDisconnect();
   bool canContinue();
   /// Number of received bytes that wait in the kernel.
   std::size_t unreadBytes();
+  /// Number of sent bytes that the caller has not acknowledged; nothing if the
+  /// kernel does not say.
+  std::optional<std::size_t> unacknowledgedBytes();
   TimePoint idleDeadline(TimePoint Now) const;
   /// Extends the time of a write if the caller has received something of it
   /// since the last call.
@@ -166,7 +175,7 @@
   TimePoint IdleSince;
   bool Writing = false;
   /// Sent bytes that the caller had not received at the last check.
-  int QueuedBytes = 0;
+  std::size_t QueuedBytes = 0;
   bool HasCarriedRequest = false;
   /// Whether the caller wants to go on after the current request, and whether
   /// the connection does.
@@ -177,6 +186,8 @@
   bool Aborted = false;
   bool SendingEnded = false;
   bool Watching = false;
+  /// Number of bytes written since the caller had ended its sending side.
+  std::size_t BytesAfterEndOfSending = 0;
   /// Whether the caller has sent a request before the previous answer.
   bool Pipelines = false;
   /// The head of the response without its end, until it is written.
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -6,11 +6,13 @@
 
 using internal::AttemptOutcome;
 using internal::AttemptResult;
+using internal::EndOfSendingGrace;
 using internal::formatMillis;
 using internal::leavingError;
 using internal::RateLimitReason;
 using internal::RequestContext;
 using internal::StoreConfirmTimeout;
+using internal::unprovedError;
 
 namespace {
 
@@ -239,6 +241,7 @@
     Context->CallerDisconnected = true;
     Context->abortCall();
   });
+  Caller.onCallerEndOfSending([Context] { awaitSignOfCaller(*Context); });
   Running.insert(Context);
   startDeadline(Context);
   if (Context->MatchedRoute.Kind == RequestKind::Stream) {
@@ -248,7 +251,9 @@
   }
   Running.erase(Context);
   Context->DeadlineTimer.cancel();
+  Context->CallerTimer.cancel();
   Caller.onCallerDisconnect(nullptr);
+  Caller.onCallerEndOfSending(nullptr);
   Context->CurrentCall.reset();
 }
 
@@ -264,6 +269,20 @@
   });
 }
 
+void Relay::Impl::awaitSignOfCaller(RequestContext &Context) {
+  Context.CallerTimer.expires_after(EndOfSendingGrace);
+  Context.CallerTimer.async_wait(
+      [Self = Context.shared_from_this()](const ErrorCode &Cancelled) {
+        const bool MustFinish =
+            Self->MatchedRoute.Kind == RequestKind::AtMostOnce &&
+            Self->PossibleRuns > 0;
+        if (Cancelled || MustFinish || Self->Caller.isCallerKnownToRead())
+          return;
+        Self->CallerPresumedGone = true;
+        Self->abortCall();
+      });
+}
+
 Task<void> Relay::Impl::refuseRequest(RequestContext &Context, Error Failure) {
   const ErrorAnswer &Mapping = answerOf(Failure.Kind);
   LogLine("entry.refused")
@@ -357,10 +376,7 @@
   if (isSendingOver())
     Failure = leavingError();
   if (Context.PossibleRuns > 0)
-    Failure = {Context.Expired ? ErrorKind::Timeout : ErrorKind::EndpointFailed,
-               FailureReason,
-               NotRun::Unproved,
-               {}};
+    Failure = unprovedError(Context, std::move(FailureReason));
   co_await refuseRequest(Context, std::move(Failure));
 }
 
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -38,15 +38,19 @@
   return Span ? std::to_string(*Span / std::chrono::milliseconds(1)) : "none";
 }
 
+/// How long a request whose work may be given up goes on after its caller has
+/// ended its sending side and shows no sign that it still reads.
+inline constexpr Duration EndOfSendingGrace = std::chrono::milliseconds(250);
+
 /// Why a request is refused if the rate limits of all endpoints are used up.
 inline constexpr const char *RateLimitReason =
     "all endpoints of the service are at their rate limits";
 
 /// The state of a request from its last byte to the end of its answer.
-struct RequestContext {
+struct RequestContext : std::enable_shared_from_this<RequestContext> {
   RequestContext(Loop &Io, HttpExchange &Caller,
                  const std::shared_ptr<MemoryAccount> &Memory)
-      : Caller(Caller), DeadlineTimer(Io),
+      : Caller(Caller), DeadlineTimer(Io), CallerTimer(Io),
         RequestMemory(Memory, MemoryUse::Requests),
         ResponseMemory(Memory, MemoryUse::Responses) {}
 
@@ -58,6 +62,9 @@
   /// which a stopping process answers.
   TimePoint Deadline;
   asio::steady_timer DeadlineTimer;
+  /// Runs while it is not known whether a caller that has ended its sending
+  /// side still reads.
+  asio::steady_timer CallerTimer;
   std::string Body;
   /// What copies of the body and the chain before it take.
   MemoryShare RequestMemory;
@@ -93,17 +100,37 @@
   std::optional<Duration> RateLimitDelay;
   bool CallerDisconnected = false;
   bool Expired = false;
+  /// Whether the request is given up because its caller has ended its sending
+  /// side and shows no sign that it still reads.
+  bool CallerPresumedGone = false;
   /// The call in flight; aborted when the request is cancelled.
   std::shared_ptr<HttpCall> CurrentCall;
 
   /// Whether nobody waits for the answer any more.
-  bool isCancelled() const { return CallerDisconnected || Expired; }
+  bool isCancelled() const {
+    return CallerDisconnected || CallerPresumedGone || Expired;
+  }
   void abortCall() {
     if (CurrentCall)
       CurrentCall->abort();
   }
 };
 
+/// The error of a request that endpoints may have run, and that has no answer
+/// because of \p Reason, or because it was given up.
+inline Error unprovedError(const RequestContext &Context, std::string Reason) {
+  if (Context.CallerPresumedGone)
+    return {ErrorKind::Timeout,
+            "the caller has ended its sending side, and there was no answer "
+            "soon after",
+            NotRun::Unproved,
+            {}};
+  return {Context.Expired ? ErrorKind::Timeout : ErrorKind::EndpointFailed,
+          std::move(Reason),
+          NotRun::Unproved,
+          {}};
+}
+
 /// The outcome of an attempt at one endpoint.
 enum class AttemptOutcome {
   /// The complete response of the endpoint was received.
@@ -232,6 +259,10 @@
   Task<void> confirmCatalog(TimePoint Deadline);
   /// Lists the endpoints anew, unless that was done a moment ago.
   Task<void> listEndpoints(TimePoint Deadline);
+  /// Gives up the request after EndOfSendingGrace unless its caller is known to
+  /// read until then. A call that may have run and may not be repeated goes on
+  /// in any case: its caller cannot find out otherwise what came of it.
+  static void awaitSignOfCaller(internal::RequestContext &Context);
   Task<void> refuseRequest(internal::RequestContext &Context, Error Failure);
   Task<void> servePlain(internal::RequestContext &Context);
   /// Sends the complete response of an endpoint to the caller.
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -224,11 +224,8 @@
                               ? RateLimitReason
                               : "no endpoint accepted the request");
   if (!Failure)
-    Failure =
-        Error{Context.Expired ? ErrorKind::Timeout : ErrorKind::EndpointFailed,
-              "the endpoint did not answer or its response is invalid",
-              NotRun::Unproved,
-              {}};
+    Failure = internal::unprovedError(
+        Context, "the endpoint did not answer or its response is invalid");
   co_await refuseRequest(Context, std::move(*Failure));
 }
 
@@ -388,6 +385,8 @@
       const bool Sent = co_await Context.Caller.sendChunk(Ready);
       if (!Sent)
         co_return brokenStream("the caller has disconnected");
+      if (Context.Caller.hasCallerEndedSending())
+        awaitSignOfCaller(Context);
     }
     if (Fault != nullptr)
       co_return brokenStream(Fault);
--- a/packages/relay/test/RawCaller.h
+++ b/packages/relay/test/RawCaller.h
@@ -129,6 +129,11 @@
     if (Connection)
       Connection->shutdown(Tcp::socket::shutdown_send, Ignored);
   }
+  void close() {
+    ErrorCode Ignored; // The socket is closed even on error.
+    if (Connection)
+      Connection->close(Ignored);
+  }
 
 private:
   Loop &Io;
