Tell callers whose limit ended their request

What callers saw: 504 "Bad file descriptor", or "Operation canceled": how the socket of a call failed that this process had aborted itself. No caller can use either.

Cause: the reason of an attempt that failed was passed on also where the attempt was aborted at a deadline; a read that was pending, and one that begins on the closed socket, fail with different errors.

Now a request that was given up says which limit it was: the caller's deadline, the route's timeout, the stop of the process, or the end of the caller's sending side.

Seen red before the change: `relay` ThatAreGivenUp, 3 of 3 cases. Without it the text was "Operation canceled" or "the endpoint did not answer or its response is invalid" in all 3.

--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -199,6 +199,8 @@
 
   tl::unexpected<Error> readFailure(const ErrorCode &Failure) {
     noteReadFailure(Failure);
+    if (Aborted)
+      return refuse(ErrorKind::EndpointFailed, "the call was aborted");
     if (OutOfMemory)
       return refuse(ErrorKind::Overloaded,
                     "too little memory is left for the response");
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -8,6 +8,7 @@
 using internal::AttemptResult;
 using internal::EndOfSendingGrace;
 using internal::formatMillis;
+using internal::givenUpReason;
 using internal::leavingError;
 using internal::RateLimitReason;
 using internal::RequestContext;
@@ -155,11 +156,13 @@
                                ? Context.Metadata.RequestId
                                : Context.Metadata.Program.text();
   Context.Service = chooseService(Context.MatchedRoute, stableHash(Key));
+  const Duration Timeout = Context.MatchedRoute.Timeout;
   const Duration Wait =
-      Context.Metadata.TimeLeft
-          ? std::min(*Context.Metadata.TimeLeft, Context.MatchedRoute.Timeout)
-          : Context.MatchedRoute.Timeout;
+      std::min(Context.Metadata.TimeLeft.value_or(Timeout), Timeout);
   Context.Deadline = Context.Caller.requestReadAt() + Wait;
+  Context.DeadlineReason = Wait < Timeout
+                               ? "the deadline of the caller has passed"
+                               : "the timeout of the route has passed";
   Context.Digest = digestOf(Request.Method, Host, Request.Target, Request.Body);
   return refusalAfterCrashes(Context);
 }
@@ -259,7 +262,10 @@
 
 void Relay::Impl::startDeadline(
     const std::shared_ptr<RequestContext> &Context) {
-  Context->Deadline = std::min(Context->Deadline, Stop.AnswerBy);
+  if (Stop.AnswerBy < Context->Deadline) {
+    Context->Deadline = Stop.AnswerBy;
+    Context->DeadlineReason = "the process is shutting down";
+  }
   Context->DeadlineTimer.expires_at(Context->Deadline);
   Context->DeadlineTimer.async_wait([Context](const ErrorCode &Cancelled) {
     if (Cancelled)
@@ -372,7 +378,10 @@
         (!MayRepeat || Crashes.isBlocked(Context.Digest, steadyNow())))
       break;
   }
-  Error Failure{ErrorKind::Overloaded, FailureReason, NotRun::Proved, {}};
+  Error Failure{ErrorKind::Overloaded,
+                givenUpReason(Context).value_or(FailureReason),
+                NotRun::Proved,
+                {}};
   if (isSendingOver())
     Failure = leavingError();
   if (Context.PossibleRuns > 0)
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -61,6 +61,8 @@
   /// The earliest of the caller's deadline, the route's timeout and the time at
   /// which a stopping process answers.
   TimePoint Deadline;
+  /// Which of them it is, as told to the caller once it has passed.
+  const char *DeadlineReason = "the deadline of the request has passed";
   asio::steady_timer DeadlineTimer;
   /// Runs while it is not known whether a caller that has ended its sending
   /// side still reads.
@@ -116,17 +118,23 @@
   }
 };
 
+/// Why this process gave up the request; nothing if it did not. What the
+/// aborted call failed with says nothing then.
+inline std::optional<std::string> givenUpReason(const RequestContext &Context) {
+  if (Context.Expired)
+    return Context.DeadlineReason;
+  if (Context.CallerPresumedGone)
+    return "the caller has ended its sending side, and there was no answer "
+           "soon after";
+  return std::nullopt;
+}
+
 /// The error of a request that endpoints may have run, and that has no answer
-/// because of \p Reason, or because it was given up.
+/// because it was given up, or else because of \p Reason.
 inline Error unprovedError(const RequestContext &Context, std::string Reason) {
-  if (Context.CallerPresumedGone)
-    return {ErrorKind::Timeout,
-            "the caller has ended its sending side, and there was no answer "
-            "soon after",
-            NotRun::Unproved,
-            {}};
-  return {Context.Expired ? ErrorKind::Timeout : ErrorKind::EndpointFailed,
-          std::move(Reason),
+  const std::optional<std::string> GivenUp = givenUpReason(Context);
+  return {GivenUp ? ErrorKind::Timeout : ErrorKind::EndpointFailed,
+          GivenUp.value_or(std::move(Reason)),
           NotRun::Unproved,
           {}};
 }
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -220,9 +220,10 @@
   if (!Failure && Context.PossibleRuns == 0)
     Failure = notRunError(Context.Expired ? ErrorKind::DeadlineUnreachable
                                           : ErrorKind::Overloaded,
-                          Context.RateLimitDelay
-                              ? RateLimitReason
-                              : "no endpoint accepted the request");
+                          internal::givenUpReason(Context).value_or(
+                              Context.RateLimitDelay
+                                  ? RateLimitReason
+                                  : "no endpoint accepted the request"));
   if (!Failure)
     Failure = internal::unprovedError(
         Context, "the endpoint did not answer or its response is invalid");
--- a/packages/relay/test/RelayTest.cpp
+++ b/packages/relay/test/RelayTest.cpp
@@ -135,6 +135,48 @@
   BOOST_TEST(requestCount() == 1U);
 }
 
+/// Guards against callers that are told how the socket of an aborted call
+/// failed in place of whose limit ended their request.
+BOOST_AUTO_TEST_SUITE(ThatAreGivenUp)
+
+BOOST_AUTO_TEST_CASE(SayThatTheDeadlineOfTheCallerHasPassed) {
+  setResponses({{""}});
+  for (const char *Target : {"/safe/a", "/once/a", "/turn/a"}) {
+    const HttpResponse Response =
+        sendRequest(Target, {{"Id", "1"}, {"Wait-Ms", "60"}}, "b");
+    BOOST_TEST(Response.Head.Status == 504);
+    BOOST_TEST(Response.Body == "the deadline of the caller has passed\n");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SayThatTheTimeoutOfTheRouteHasPassed) {
+  setResponses({{""}});
+  Routes.Version = 2;
+  for (Route &Next : Routes.Routes)
+    Next.Timeout = 60ms;
+  RequestRelay.setCatalog(Routes);
+  const HttpResponse Response = sendRequest("/once/a", {{"Id", "1"}}, "b");
+  BOOST_TEST(Response.Head.Status == 504);
+  BOOST_TEST(Response.Body == "the timeout of the route has passed\n");
+}
+
+/// The call is aborted while a response to an earlier request is skipped, so
+/// that the next read is of a closed socket.
+BOOST_AUTO_TEST_CASE(SayItBehindAnEarlierResponse) {
+  ScriptedResponse Earlier;
+  Earlier.Bytes = "HTTP/1.1 200 OK\r\nId: other\r\nSigned: s\r\n"
+                  "Content-Length: 4\r\n\r\nab";
+  Earlier.LaterSegments = {"cd"};
+  Earlier.SegmentInterval = 200ms;
+  setResponses({Earlier});
+  const HttpResponse Response =
+      sendRequest("/once/a", {{"Id", "1"}, {"Wait-Ms", "60"}}, "b");
+  BOOST_TEST(Response.Head.Status == 504);
+  BOOST_TEST(Response.Body == "the deadline of the caller has passed\n");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(IdempotentRequests)
