Count the time of a caller that has ended its sending side from its FIN

What callers would have seen: a stream that is broken off right behind its first event, as the timer had expired while the loop stood still; and endpoints that work on or begin for callers which had closed their connections half a second before.

- The time began when the relay asked for the FIN, behind waits for the store of up to 0.8 s, and was looked at once: a call that no endpoint had run by then went on to further endpoints.
It begins at the FIN now, and is looked at before each send.
- Each event prolonged it, also for a caller that is cut off.
The first one does.
- A handler of the timer that was queued already ran after the request had ended and used its exchange, or for a timer that had been started again.
- "Known to read" counted bytes only when a write had ended, so that a caller that reads a long event slowly passed for gone.
The kernel's count of acknowledged bytes (TCP_INFO) decides now.
- Urgent data passed for a lost connection.
- An endpoint was charged with silence in the time that the caller no longer waited.

--- a/packages/net/include/tamarack/net/HttpServer.h
+++ b/packages/net/include/tamarack/net/HttpServer.h
@@ -7,7 +7,8 @@
 ///
 /// The whole request is read before its handler runs. While the handler runs,
 /// the server watches the connection and reports at once if the caller resets
-/// it or ends its sending side. A caller that has ended its sending side gets
+/// it or ends its sending side, unless a further request of the caller waits
+/// behind the current one. A caller that has ended its sending side gets
 /// the responses to what it has sent: it may still read, which shows only when
 /// something is written. If a handler returns without a response, the
 /// connection is closed.
@@ -37,6 +38,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace tamarack {
 
@@ -141,12 +143,17 @@
   void onCallerDisconnect(std::function<void()> Callback);
   /// Whether the caller sends nothing more. It may have closed the connection,
   /// or still read.
-  bool hasCallerEndedSending() const;
+  bool hasCallerEndedSending() const {
+    return callerEndedSendingAt().has_value();
+  }
+  /// When the server noticed that; nothing if the caller may send more.
+  std::optional<TimePoint> callerEndedSendingAt() const;
   /// \p Callback is called once if the caller ends its sending side while the
   /// handler runs, and at once if it already has.
   void onCallerEndOfSending(std::function<void()> Callback);
-  /// Whether the caller has acknowledged some of what was written since it
-  /// ended its sending side, so that it had not closed the connection then.
+  /// Whether the caller has acknowledged anything since it ended its sending
+  /// side. A closed connection acknowledges nothing, it is reset by what
+  /// arrives.
   bool isCallerKnownToRead() const;
 
 private:
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -38,11 +38,11 @@
   else
     Session.DisconnectCallback = std::move(Callback);
 }
-bool HttpExchange::hasCallerEndedSending() const {
-  return Session.CallerEndedSending;
+std::optional<TimePoint> HttpExchange::callerEndedSendingAt() const {
+  return Session.CallerEndedSendingAt;
 }
 void HttpExchange::onCallerEndOfSending(std::function<void()> Callback) {
-  if (Session.CallerEndedSending && Callback)
+  if (Session.CallerEndedSendingAt && Callback)
     Callback();
   else
     Session.EndOfSendingCallback = std::move(Callback);
--- a/packages/net/src/HttpSession.cpp
+++ b/packages/net/src/HttpSession.cpp
@@ -1,6 +1,7 @@
 #include "HttpSession.h"
 
 #include "ReadBuffer.h"
+#include "TcpInfo.h"
 
 #include "tamarack/net/Log.h"
 
@@ -102,12 +103,12 @@
 /// The kernel takes the next part only when much of its buffer is free, which a
 /// caller that reads slowly needs long for.
 void HttpSession::extendIfCallerReads(TimePoint Now) {
-  const std::optional<std::size_t> Queued = unacknowledgedBytes();
-  if (!Queued)
+  int Queued = 0;
+  if (::ioctl(Socket.native_handle(), SIOCOUTQ, &Queued) != 0)
     return;
-  if (*Queued < QueuedBytes)
+  if (Queued < QueuedBytes)
     Deadline = Now + Server->Limits.ResponseWriteTimeout;
-  QueuedBytes = *Queued;
+  QueuedBytes = Queued;
 }
 
 TimePoint HttpSession::idleDeadline(TimePoint Now) const {
@@ -157,19 +158,12 @@
   return static_cast<std::size_t>(Count);
 }
 
-std::optional<std::size_t> HttpSession::unacknowledgedBytes() {
-  int Count = 0;
-  if (::ioctl(Socket.native_handle(), SIOCOUTQ, &Count) != 0)
-    return std::nullopt;
-  return static_cast<std::size_t>(Count);
-}
-
-/// A closed connection acknowledges nothing: it is reset by what arrives.
 bool HttpSession::isCallerKnownToRead() {
-  if (CallerDisconnected || BytesAfterEndOfSending == 0)
+  if (CallerDisconnected || !AcknowledgedAtEndOfSending)
     return false;
-  const std::optional<std::size_t> Queued = unacknowledgedBytes();
-  return Queued && *Queued < BytesAfterEndOfSending;
+  const std::optional<std::uint64_t> Acknowledged =
+      acknowledgedBytes(Socket.native_handle());
+  return Acknowledged && *Acknowledged > *AcknowledgedAtEndOfSending;
 }
 
 Task<void> HttpSession::run() {
@@ -404,13 +398,16 @@
   Socket.async_wait(Tcp::socket::wait_error,
                     [Self = shared_from_this()](const ErrorCode &Cancelled) {
                       Self->Watching = false;
-                      if (!Cancelled)
+                      // Urgent data ends the wait too.
+                      pollfd Query{Self->Socket.native_handle(), 0, 0};
+                      if (!Cancelled && ::poll(&Query, 1, 0) > 0)
                         Self->handleDisconnect();
                     });
 }
 
 void HttpSession::handleEndOfSending() {
-  CallerEndedSending = true;
+  CallerEndedSendingAt = steadyNow();
+  AcknowledgedAtEndOfSending = acknowledgedBytes(Socket.native_handle());
   watchForDisconnect();
   if (const auto Callback = std::exchange(EndOfSendingCallback, nullptr))
     Callback();
@@ -427,7 +424,6 @@
   if (CallerDisconnected || Aborted || !Socket.is_open())
     co_return false;
   const TimePoint ReadDeadline = Deadline;
-  const bool IsAfterEndOfSending = CallerEndedSending;
   Writing = true;
   const std::string Head = std::exchange(PendingHead, {});
   std::string_view EndOfHead;
@@ -445,14 +441,11 @@
     return Failed ? 0 : MaxWriteBytes;
   };
   ErrorCode Failure;
-  const std::size_t Written = co_await asio::async_write(
-      Socket, Parts, MaxNextPart, storeErrorIn(Failure));
+  co_await asio::async_write(Socket, Parts, MaxNextPart, storeErrorIn(Failure));
   Writing = false;
   Deadline = ReadDeadline;
   if (Failure && !Aborted)
     handleDisconnect();
-  if (IsAfterEndOfSending)
-    BytesAfterEndOfSending += Written;
   co_return !Failure;
 }
 
@@ -462,7 +455,7 @@
 /// sends meanwhile has no answer, so a connection on which it does not wait for
 /// answers ends while it is idle, except if its requests are refused anyway.
 bool HttpSession::isLastResponse() {
-  if (CallerEndedSending)
+  if (CallerEndedSendingAt)
     return true;
   if (!Server->Draining && !CloseRequested)
     return false;
--- a/packages/net/src/HttpSession.h
+++ b/packages/net/src/HttpSession.h
@@ -112,8 +112,8 @@
   bool ResponseStarted = false;
   bool CallerDisconnected = false;
   std::function<void()> DisconnectCallback;
-  /// Whether a FIN of the caller has arrived behind its last request.
-  bool CallerEndedSending = false;
+  /// When a FIN of the caller was seen behind its last request.
+  std::optional<TimePoint> CallerEndedSendingAt;
   std::function<void()> EndOfSendingCallback;
 
 private:
@@ -146,9 +146,6 @@
   bool canContinue();
   /// Number of received bytes that wait in the kernel.
   std::size_t unreadBytes();
-  /// Number of sent bytes that the caller has not acknowledged; nothing if the
-  /// kernel does not say.
-  std::optional<std::size_t> unacknowledgedBytes();
   TimePoint idleDeadline(TimePoint Now) const;
   /// Extends the time of a write if the caller has received something of it
   /// since the last call.
@@ -175,7 +172,7 @@
   TimePoint IdleSince;
   bool Writing = false;
   /// Sent bytes that the caller had not received at the last check.
-  std::size_t QueuedBytes = 0;
+  int QueuedBytes = 0;
   bool HasCarriedRequest = false;
   /// Whether the caller wants to go on after the current request, and whether
   /// the connection does.
@@ -186,8 +183,9 @@
   bool Aborted = false;
   bool SendingEnded = false;
   bool Watching = false;
-  /// Number of bytes written since the caller had ended its sending side.
-  std::size_t BytesAfterEndOfSending = 0;
+  /// What the caller had acknowledged when it ended its sending side; nothing
+  /// if the kernel does not say.
+  std::optional<std::uint64_t> AcknowledgedAtEndOfSending;
   /// Whether the caller has sent a request before the previous answer.
   bool Pipelines = false;
   /// The head of the response without its end, until it is written.
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -204,11 +204,15 @@
     Endpoints.onSuccess(To.Endpoint, steadyNow());
 }
 
-void Relay::Impl::recordSilence(const EndpointEntry &To, TimePoint SentAt,
+void Relay::Impl::recordSilence(const RequestContext &Context,
+                                const EndpointEntry &To, TimePoint SentAt,
                                 bool HasAnswered) {
   const TimePoint Now = steadyNow();
+  const TimePoint WaitedUntil =
+      Context.Caller.callerEndedSendingAt().value_or(Now);
   // A stopping process cancels requests that the endpoint has time for.
-  if (!HasAnswered && Now - SentAt >= SilentRequestTime && Now < Stop.AnswerBy)
+  if (!HasAnswered && WaitedUntil - SentAt >= SilentRequestTime &&
+      Now < Stop.AnswerBy)
     Endpoints.onErrorResponse(To.Endpoint, Now);
 }
 
@@ -301,7 +305,7 @@
     const Error Cause = !Head ? Head.error() : Body.error();
     Call->abort();
     if (Context.isCancelled()) {
-      recordSilence(To, SentAt, Head.has_value());
+      recordSilence(Context, To, SentAt, Head.has_value());
     } else {
       if (!isOwnFault(Context))
         Endpoints.onFailure(To.Endpoint, steadyNow());
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -6,9 +6,9 @@
 
 using internal::AttemptOutcome;
 using internal::AttemptResult;
+using internal::cancellationReason;
 using internal::EndOfSendingGrace;
 using internal::formatMillis;
-using internal::givenUpReason;
 using internal::leavingError;
 using internal::RateLimitReason;
 using internal::RequestContext;
@@ -244,7 +244,12 @@
     Context->CallerDisconnected = true;
     Context->abortCall();
   });
-  Caller.onCallerEndOfSending([Context] { awaitSignOfCaller(*Context); });
+  Caller.onCallerEndOfSending([Context] {
+    const TimePoint EndedAt = *Context->Caller.callerEndedSendingAt();
+    Context->GraceOver = steadyNow() >= EndedAt + EndOfSendingGrace;
+    if (!Context->GraceOver)
+      startGrace(*Context, EndedAt);
+  });
   Running.insert(Context);
   startDeadline(Context);
   if (Context->MatchedRoute.Kind == RequestKind::Stream) {
@@ -254,7 +259,8 @@
   }
   Running.erase(Context);
   Context->DeadlineTimer.cancel();
-  Context->CallerTimer.cancel();
+  Context->GraceTimer.cancel();
+  Context->Ended = true;
   Caller.onCallerDisconnect(nullptr);
   Caller.onCallerEndOfSending(nullptr);
   Context->CurrentCall.reset();
@@ -275,18 +281,19 @@
   });
 }
 
-void Relay::Impl::awaitSignOfCaller(RequestContext &Context) {
-  Context.CallerTimer.expires_after(EndOfSendingGrace);
-  Context.CallerTimer.async_wait(
-      [Self = Context.shared_from_this()](const ErrorCode &Cancelled) {
-        const bool MustFinish =
-            Self->MatchedRoute.Kind == RequestKind::AtMostOnce &&
-            Self->PossibleRuns > 0;
-        if (Cancelled || MustFinish || Self->Caller.isCallerKnownToRead())
-          return;
-        Self->CallerPresumedGone = true;
-        Self->abortCall();
-      });
+void Relay::Impl::startGrace(RequestContext &Context, TimePoint Start) {
+  Context.GraceTimer.expires_at(Start + EndOfSendingGrace);
+  Context.GraceTimer.async_wait([Self = Context.shared_from_this()](
+                                    const ErrorCode &Cancelled) {
+    // This handler may have been queued before the request ended, or before the
+    // timer was started again.
+    if (Cancelled || Self->Ended || steadyNow() < Self->GraceTimer.expiry() ||
+        Self->Caller.isCallerKnownToRead())
+      return;
+    Self->GraceOver = true;
+    if (Self->isGivenUp())
+      Self->abortCall();
+  });
 }
 
 Task<void> Relay::Impl::refuseRequest(RequestContext &Context, Error Failure) {
@@ -379,7 +386,7 @@
       break;
   }
   Error Failure{ErrorKind::Overloaded,
-                givenUpReason(Context).value_or(FailureReason),
+                cancellationReason(Context).value_or(FailureReason),
                 NotRun::Proved,
                 {}};
   if (isSendingOver())
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -38,8 +38,9 @@
   return Span ? std::to_string(*Span / std::chrono::milliseconds(1)) : "none";
 }
 
-/// How long a request whose work may be given up goes on after its caller has
-/// ended its sending side and shows no sign that it still reads.
+/// How long a request that may be given up goes on after its caller has ended
+/// its sending side, or after the first event that is written then, if nothing
+/// shows that the caller still reads.
 inline constexpr Duration EndOfSendingGrace = std::chrono::milliseconds(250);
 
 /// Why a request is refused if the rate limits of all endpoints are used up.
@@ -50,7 +51,7 @@
 struct RequestContext : std::enable_shared_from_this<RequestContext> {
   RequestContext(Loop &Io, HttpExchange &Caller,
                  const std::shared_ptr<MemoryAccount> &Memory)
-      : Caller(Caller), DeadlineTimer(Io), CallerTimer(Io),
+      : Caller(Caller), DeadlineTimer(Io), GraceTimer(Io),
         RequestMemory(Memory, MemoryUse::Requests),
         ResponseMemory(Memory, MemoryUse::Responses) {}
 
@@ -64,9 +65,9 @@
   /// Which of them it is, as told to the caller once it has passed.
   const char *DeadlineReason = "the deadline of the request has passed";
   asio::steady_timer DeadlineTimer;
-  /// Runs while it is not known whether a caller that has ended its sending
-  /// side still reads.
-  asio::steady_timer CallerTimer;
+  /// Limits how long a caller that has ended its sending side may show no sign
+  /// that it still reads.
+  asio::steady_timer GraceTimer;
   std::string Body;
   /// What copies of the body and the chain before it take.
   MemoryShare RequestMemory;
@@ -102,15 +103,27 @@
   std::optional<Duration> RateLimitDelay;
   bool CallerDisconnected = false;
   bool Expired = false;
-  /// Whether the request is given up because its caller has ended its sending
-  /// side and shows no sign that it still reads.
-  bool CallerPresumedGone = false;
+  /// Whether an event was written after the caller had ended its sending side.
+  bool WrittenAfterEndOfSending = false;
+  /// Whether the time is up in which a caller that has ended its sending side
+  /// could show that it still reads.
+  bool GraceOver = false;
+  /// Whether the handler has ended, so that Caller must not be used any more.
+  bool Ended = false;
   /// The call in flight; aborted when the request is cancelled.
   std::shared_ptr<HttpCall> CurrentCall;
 
-  /// Whether nobody waits for the answer any more.
+  /// Whether the request is given up because its caller has probably closed the
+  /// connection. A call that may have run and may not be repeated is not: its
+  /// caller has no other way to learn what came of it.
+  bool isGivenUp() const {
+    const bool MustFinish =
+        MatchedRoute.Kind == RequestKind::AtMostOnce && PossibleRuns > 0;
+    return GraceOver && !MustFinish;
+  }
+  /// Whether the work for the request is to end.
   bool isCancelled() const {
-    return CallerDisconnected || CallerPresumedGone || Expired;
+    return CallerDisconnected || Expired || isGivenUp();
   }
   void abortCall() {
     if (CurrentCall)
@@ -118,23 +131,24 @@
   }
 };
 
-/// Why this process gave up the request; nothing if it did not. What the
-/// aborted call failed with says nothing then.
-inline std::optional<std::string> givenUpReason(const RequestContext &Context) {
+/// Why this process ended the work for the request; nothing if it did not. What
+/// the aborted call failed with says nothing then.
+inline std::optional<std::string>
+cancellationReason(const RequestContext &Context) {
   if (Context.Expired)
     return Context.DeadlineReason;
-  if (Context.CallerPresumedGone)
+  if (Context.isGivenUp())
     return "the caller has ended its sending side, and there was no answer "
            "soon after";
   return std::nullopt;
 }
 
 /// The error of a request that endpoints may have run, and that has no answer
-/// because it was given up, or else because of \p Reason.
+/// because its work was ended, or else because of \p Reason.
 inline Error unprovedError(const RequestContext &Context, std::string Reason) {
-  const std::optional<std::string> GivenUp = givenUpReason(Context);
-  return {GivenUp ? ErrorKind::Timeout : ErrorKind::EndpointFailed,
-          GivenUp.value_or(std::move(Reason)),
+  const std::optional<std::string> Cancelled = cancellationReason(Context);
+  return {Cancelled ? ErrorKind::Timeout : ErrorKind::EndpointFailed,
+          Cancelled.value_or(std::move(Reason)),
           NotRun::Unproved,
           {}};
 }
@@ -267,10 +281,9 @@
   Task<void> confirmCatalog(TimePoint Deadline);
   /// Lists the endpoints anew, unless that was done a moment ago.
   Task<void> listEndpoints(TimePoint Deadline);
-  /// Gives up the request after EndOfSendingGrace unless its caller is known to
-  /// read until then. A call that may have run and may not be repeated goes on
-  /// in any case: its caller cannot find out otherwise what came of it.
-  static void awaitSignOfCaller(internal::RequestContext &Context);
+  /// Limits the request to EndOfSendingGrace from \p Start, unless its caller
+  /// is known to read by then.
+  static void startGrace(internal::RequestContext &Context, TimePoint Start);
   Task<void> refuseRequest(internal::RequestContext &Context, Error Failure);
   Task<void> servePlain(internal::RequestContext &Context);
   /// Sends the complete response of an endpoint to the caller.
@@ -351,8 +364,10 @@
   bool isForwardable(const HttpHead &Head) const;
   /// Records a complete response of the endpoint.
   void recordAnswer(const EndpointEntry &To, int Status);
-  /// Records that a request was cancelled, if the endpoint had time to answer.
-  void recordSilence(const EndpointEntry &To, TimePoint SentAt,
+  /// Records that a request was cancelled, if the endpoint had time to answer
+  /// while the caller waited.
+  void recordSilence(const internal::RequestContext &Context,
+                     const EndpointEntry &To, TimePoint SentAt,
                      bool HasAnswered);
   /// Records whether the endpoint says in \p Metadata that it is shutting down
   /// or limits its rate.
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -1,6 +1,7 @@
 #include "RelayImpl.h"
 
 #include <charconv>
+#include <utility>
 
 namespace tamarack {
 
@@ -210,6 +211,7 @@
         .with("expired", Context.Expired ? 1 : 0)
         .with("left", Context.CallerDisconnected ? 1 : 0)
         .with("sending_ended", Context.Caller.hasCallerEndedSending() ? 1 : 0)
+        .with("given_up", Context.isGivenUp() ? 1 : 0)
         .with("took_ms", steadyNow() - Context.Caller.requestReadAt());
     Context.Caller.abort();
     co_return;
@@ -220,7 +222,7 @@
   if (!Failure && Context.PossibleRuns == 0)
     Failure = notRunError(Context.Expired ? ErrorKind::DeadlineUnreachable
                                           : ErrorKind::Overloaded,
-                          internal::givenUpReason(Context).value_or(
+                          internal::cancellationReason(Context).value_or(
                               Context.RateLimitDelay
                                   ? RateLimitReason
                                   : "no endpoint accepted the request"));
@@ -267,7 +269,7 @@
   else if (Outcome != StreamOutcome::Indeterminate)
     recordAnswer(To, Status);
   else if (Context.isCancelled())
-    recordSilence(To, SentAt, Head.has_value());
+    recordSilence(Context, To, SentAt, Head.has_value());
   else if (!isOwnFault(Context))
     Endpoints.onFailure(To.Endpoint, steadyNow());
   const bool IsBroken = Outcome == StreamOutcome::Indeterminate &&
@@ -386,8 +388,9 @@
       const bool Sent = co_await Context.Caller.sendChunk(Ready);
       if (!Sent)
         co_return brokenStream("the caller has disconnected");
-      if (Context.Caller.hasCallerEndedSending())
-        awaitSignOfCaller(Context);
+      if (Context.Caller.hasCallerEndedSending() &&
+          !std::exchange(Context.WrittenAfterEndOfSending, true))
+        startGrace(Context, steadyNow());
     }
     if (Fault != nullptr)
       co_return brokenStream(Fault);
--- a/packages/relay/test/CallerEndTest.cpp
+++ b/packages/relay/test/CallerEndTest.cpp
@@ -41,18 +41,22 @@
     return encodeRequest(Request);
   }
 
-  /// Sends a request, ends the sending side, and reads to the end of the
+  /// Sends a request, calls \p End after a while, and reads to the end of the
   /// connection or of the response.
-  RawResponse sendAndEndSending(const std::string &Target,
-                                Duration After = EndsAfter) {
+  RawResponse sendAndEnd(const std::string &Target, Duration After,
+                         const std::function<void(RawCaller &)> &End) {
     RawCaller Caller(Io, EntryAddress);
     asio::steady_timer Timer(Io, After);
     Timer.async_wait([&](const ErrorCode &) {
       EndedAt = steadyNow();
-      Caller.shutdownSend();
+      End(Caller);
     });
     return await(Caller.send(encode(Target)));
   }
+  RawResponse sendAndEndSending(const std::string &Target) {
+    return sendAndEnd(Target, EndsAfter,
+                      [](RawCaller &Caller) { Caller.shutdownSend(); });
+  }
 
   std::size_t closedConnections() const {
     return Endpoints[0]->ClosedConnections + Endpoints[1]->ClosedConnections;
@@ -159,6 +163,35 @@
   BOOST_TEST(Answers == Calls);
 }
 
+/// Guards against a call that is sent to a further endpoint long after its
+/// caller has probably closed the connection.
+BOOST_AUTO_TEST_CASE(IsRefusedIfNoEndpointHasRunItsCallInTime) {
+  ScriptedResponse Refusal = notRunResponse();
+  Refusal.Delay = 400ms;
+  setResponses({Refusal});
+  const RawResponse Answer = sendAndEndSending("/once/x");
+  BOOST_TEST(Answer.Status == 503);
+  BOOST_TEST(Answer.IsComplete);
+  BOOST_TEST(requestCount() == 1U);
+}
+
+/// Guards against the same for a call that waits for the configuration when its
+/// caller ends its sending side.
+BOOST_AUTO_TEST_CASE(IsRefusedIfItsCallCouldNotBeSentInTime) {
+  setResponses({{signedResponse("done")}});
+  CatalogAge = 10s;
+  StoreDelay = 350ms;
+  OnConfirmCatalog = [this] {
+    Routes.Version = 2;
+    Routes.Routes.push_back(route("/new/", RequestKind::AtMostOnce, 2));
+    RequestRelay.setCatalog(Routes);
+  };
+  const RawResponse Answer = sendAndEndSending("/new/x");
+  BOOST_TEST(Answer.Status == 503);
+  BOOST_TEST(Answer.IsComplete);
+  BOOST_TEST(requestCount() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(ACallerThatClosesItsConnection, CallerEndFixture)
@@ -166,32 +199,34 @@
 /// Guards against an endpoint that works on for a caller which is gone.
 BOOST_AUTO_TEST_CASE(EndsTheWorkOnItsStream) {
   setResponses({slowStream(100, 20ms, 20ms)});
-  {
-    RawCaller Caller(Io, EntryAddress);
-    asio::steady_timer Timer(Io, 100ms);
-    Timer.async_wait([&](const ErrorCode &) {
-      EndedAt = steadyNow();
-      Caller.close();
-    });
-    await(Caller.send(encode("/turn/x")));
-  }
+  sendAndEnd("/turn/x", 100ms, [](RawCaller &Caller) { Caller.close(); });
   until([this] { return closedConnections() == 1; });
   BOOST_TEST((steadyNow() - EndedAt < GiveUpLimit));
 }
 
 BOOST_AUTO_TEST_CASE(EndsTheWorkOnItsStreamBeforeTheFirstEvent) {
   setResponses({{""}});
-  {
-    RawCaller Caller(Io, EntryAddress);
-    asio::steady_timer Timer(Io, EndsAfter);
-    Timer.async_wait([&](const ErrorCode &) {
-      EndedAt = steadyNow();
-      Caller.close();
-    });
-    await(Caller.send(encode("/turn/x")));
-  }
+  sendAndEnd("/turn/x", EndsAfter, [](RawCaller &Caller) { Caller.close(); });
+  until([this] { return closedConnections() == 1; });
+  BOOST_TEST((steadyNow() - EndedAt < GiveUpLimit));
+}
+
+BOOST_AUTO_TEST_CASE(EndsTheWorkOnItsCallThatMayBeRepeated) {
+  setResponses({{""}});
+  sendAndEnd("/safe/x", EndsAfter, [](RawCaller &Caller) { Caller.close(); });
   until([this] { return closedConnections() == 1; });
   BOOST_TEST((steadyNow() - EndedAt < GiveUpLimit));
 }
 
+/// Guards against a reset that is not seen behind the end of the sending side.
+BOOST_AUTO_TEST_CASE(EndsTheWorkAtOnceIfItResetsIt) {
+  setResponses({{""}});
+  sendAndEnd("/once/x", EndsAfter, [this](RawCaller &Caller) {
+    Caller.shutdownSend();
+    Io.post([&Caller] { Caller.reset(); });
+  });
+  until([this] { return closedConnections() == 1; });
+  BOOST_TEST((steadyNow() - EndedAt < 200ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/relay/test/RawCaller.h
+++ b/packages/relay/test/RawCaller.h
@@ -129,6 +129,13 @@
     if (Connection)
       Connection->shutdown(Tcp::socket::shutdown_send, Ignored);
   }
+  /// Closes the connection with a reset.
+  void reset() {
+    ErrorCode Ignored; // The connection may be closed already.
+    if (Connection)
+      Connection->set_option(asio::socket_base::linger(true, 0), Ignored);
+    close();
+  }
   void close() {
     ErrorCode Ignored; // The socket is closed even on error.
     if (Connection)
