Keep a ledger running when another replies to a fetch with garbage

What callers would have seen: a ledger that joins, or that lost its disk, exits when the ledger that it fetches from replies with CBOR that is no list, no array of turns or a turn that is no record. Restarted, it asks the same ledger and exits again, and the quorum goes on without a spare copy.

Cause: the replies were decoded without a handler. The exception left the coroutine, spawn() rethrew it, and Loop::run() ended. It was the same for the reply to a ledger that retires and asks the others to catch up.

Such a reply now counts as a failed call and is logged with its sender, as replies about links and lifetimes were before. A turn that cannot be decoded ends its part; what came before it is kept.

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -61,6 +61,16 @@
   }
 }
 
+/// Returns nothing if \p Frame is not the journal encoding of a record.
+std::optional<TurnRecord> parseRecord(const std::string &Frame) {
+  try {
+    return Json::from_cbor(Frame).get<TurnRecord>();
+  } catch (const Json::exception &Failure) {
+    LogLine("ledger.record_refused").with("reason", Failure.what());
+    return std::nullopt;
+  }
+}
+
 /// Returns whether \p Of lists a folder of \p Self's instance that is lost.
 bool listsLostFolder(const View &Of, const ViewMember &Self) {
   const std::vector<RecordHolder> Listed = listedLedgers(Of);
@@ -291,28 +301,29 @@
   const auto Link = linkTo(Source.Address);
   const Expected<Json> Listed = co_await callLink(
       Io, Link, calls::ListRecords, encodeBody(Of), steadyNow() + CallTimeout);
-  if (!Listed)
+  const auto Answer = parseReply<ListRecordsResponse>(
+      Listed, calls::ListRecords, Source.Address);
+  if (!Answer)
     co_return false;
-  const ListRecordsResponse Answer = Listed->get<ListRecordsResponse>();
-  if (Answer.NewerView)
-    adopt(*Answer.NewerView, nullptr);
-  if (Answer.Refusal != LedgerRefusal::None || Answer.NewerView)
+  if (Answer->NewerView)
+    adopt(*Answer->NewerView, nullptr);
+  if (Answer->Refusal != LedgerRefusal::None || Answer->NewerView)
     co_return false;
-  if (Answer.Folder != Source.Folder) {
+  if (Answer->Folder != Source.Folder) {
     LogLine("ledger.other_folder")
         .with("address", Source.Address)
         .with("expected", Source.Folder)
-        .with("answered", Answer.Folder);
+        .with("answered", Answer->Folder);
     co_return false;
   }
   std::vector<TurnId> Lacking;
-  for (const RecordSummary &Name : Answer.Records) {
+  for (const RecordSummary &Name : Answer->Records) {
     if (Store.isMissing(Name))
       Lacking.push_back(Name.Turn);
   }
   LogLine("ledger.fetch")
       .with("from", Source.Address)
-      .with("named", Answer.Records.size())
+      .with("named", Answer->Records.size())
       .with("lacking", Lacking.size());
   const auto Work = std::make_shared<FetchWork>(Io, std::move(Lacking));
   for (std::size_t Worker = 0; Worker < MaxConcurrentCalls; ++Worker) {
@@ -321,8 +332,10 @@
   }
   while (Work->RunningWorkers > 0)
     co_await Work->Changed.wait(TimePoint::max());
-  if (Work->Failed)
+  if (Work->Failed) {
+    LogLine("ledger.fetch_failed").with("from", Source.Address);
     co_return false;
+  }
   // Writes are ordered: once this one is on disk, so are all fetched records.
   const auto Synced = std::make_shared<std::optional<bool>>();
   adopt(Of, [Synced](const Expected<FrameLocation> &Done) {
@@ -339,12 +352,14 @@
   // Turns before the last one that is in the reply are in it or unknown.
   auto Rest = Reply.Frames.empty() ? Asked.end() : Asked.begin();
   for (std::string &Frame : Reply.Frames) {
-    const TurnRecord Record = Json::from_cbor(Frame).get<TurnRecord>();
-    const auto Found = std::find(Rest, Asked.end(), Record.Turn);
+    const std::optional<TurnRecord> Record = parseRecord(Frame);
+    if (!Record)
+      break;
+    const auto Found = std::find(Rest, Asked.end(), Record->Turn);
     if (Found != Asked.end())
       Rest = std::next(Found);
-    Store.apply(Record, steadyNow());
-    persistFrame(Record, std::move(Frame), nullptr);
+    Store.apply(*Record, steadyNow());
+    persistFrame(*Record, std::move(Frame), nullptr);
   }
   return {Rest, Asked.end()};
 }
@@ -364,8 +379,10 @@
       const Expected<Json> Fetched = co_await callLink(
           Io, From, calls::FetchTurns, Request, steadyNow() + CallTimeout);
       const std::size_t Asked = Part.size();
-      if (Fetched)
-        Part = storeFetched(Fetched->get<FetchTurnsResponse>(), Part);
+      auto Reply = parseReply<FetchTurnsResponse>(Fetched, calls::FetchTurns,
+                                                  From->address());
+      if (Reply)
+        Part = storeFetched(std::move(*Reply), Part);
       Work->Failed = Work->Failed || Part.size() == Asked;
     }
   }
@@ -516,7 +533,9 @@
     const Expected<Json> Done =
         co_await callLink(Io, linkTo(Other.Address), calls::CatchUp,
                           encodeBody(Body), steadyNow() + CallTimeout);
-    if (Done && Done->get<AdoptResponse>().Refusal == LedgerRefusal::None)
+    const auto Reply =
+        parseReply<AdoptResponse>(Done, calls::CatchUp, Other.Address);
+    if (Reply && Reply->Refusal == LedgerRefusal::None)
       CaughtUpMembers.insert(Other.Folder);
     else
       AllCaughtUp = false;
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -2,6 +2,7 @@
 #ifndef TAMARACK_QUORUM_LEDGERNODEIMPL_H
 #define TAMARACK_QUORUM_LEDGERNODEIMPL_H
 
+#include "tamarack/net/Log.h"
 #include "tamarack/quorum/DiskThread.h"
 #include "tamarack/quorum/LedgerNode.h"
 #include "tamarack/turns/Messages.h"
@@ -32,6 +33,24 @@
   FolderId Folder;
 };
 
+/// Returns nothing if the call \p Name of the ledger at \p From failed or its
+/// reply cannot be parsed, and logs the latter.
+template <typename T>
+std::optional<T> parseReply(const Expected<Json> &Reply, const char *Name,
+                            const std::string &From) {
+  if (!Reply)
+    return std::nullopt;
+  try {
+    return Reply->get<T>();
+  } catch (const Json::exception &Failure) {
+    LogLine("ledger.reply_refused")
+        .with("call", Name)
+        .with("from", From)
+        .with("reason", Failure.what());
+    return std::nullopt;
+  }
+}
+
 struct LedgerNode::Impl : std::enable_shared_from_this<Impl> {
   Impl(Loop &Io, LedgerOptions Options, ViewStore &Views)
       : Io(Io), Options(std::move(Options)), Views(Views),
@@ -157,8 +176,8 @@
   /// Fetches all records that \p Source has and this one lacks. Returns whether
   /// they are all on disk.
   Task<bool> fetchFromMember(RecordSource Source, View Of);
-  /// Stores the records of \p Reply and returns the turns of \p Asked that it
-  /// does not tell about.
+  /// Stores the records of \p Reply, up to the first one that cannot be parsed,
+  /// and returns the turns of \p Asked that they do not tell about.
   std::vector<TurnId> storeFetched(FetchTurnsResponse Reply,
                                    const std::vector<TurnId> &Asked);
   /// A worker: fetches turns of \p Work until all are taken or a call fails.
--- a/packages/quorum/src/LedgerRetention.cpp
+++ b/packages/quorum/src/LedgerRetention.cpp
@@ -15,21 +15,6 @@
 /// turn that is not in it is known to be nowhere.
 constexpr std::size_t MissedTurnsPerQuestion = 64;
 
-/// Returns nothing if the call failed or the reply cannot be parsed.
-template <typename T>
-std::optional<T> parseReply(const Expected<Json> &Reply, const char *Name) {
-  if (!Reply)
-    return std::nullopt;
-  try {
-    return Reply->get<T>();
-  } catch (const Json::exception &Failure) {
-    LogLine("ledger.reply_refused")
-        .with("call", Name)
-        .with("reason", Failure.what());
-    return std::nullopt;
-  }
-}
-
 } // namespace
 
 std::size_t LedgerNode::Impl::requiredAnswers(const View &Of) const {
@@ -63,7 +48,8 @@
     const Expected<Json> Reply =
         co_await callLink(Io, linkTo(Holder.Address), calls::FetchLinks,
                           encodeBody(Missed), steadyNow() + CallTimeout);
-    const auto Links = parseReply<FetchTurnsResponse>(Reply, calls::FetchLinks);
+    const auto Links = parseReply<FetchTurnsResponse>(Reply, calls::FetchLinks,
+                                                      Holder.Address);
     if (!Links)
       continue;
     ++Answers;
@@ -106,8 +92,8 @@
       const Expected<Json> Reply =
           co_await callLink(Io, linkTo(Holder.Address), calls::Lifetimes,
                             encodeBody(Due), steadyNow() + CallTimeout);
-      const auto Answer =
-          parseReply<LifetimesResponse>(Reply, calls::Lifetimes);
+      const auto Answer = parseReply<LifetimesResponse>(Reply, calls::Lifetimes,
+                                                        Holder.Address);
       if (!Answer || Answer->Folder != Holder.Folder ||
           Answer->ViewNumber != Of.Number)
         continue;
