Do not count what compaction copies as a reason to compact

What operators would have seen: a ledger with more than 96 MB of live records copies all of them to a new segment each second, for as long as they are kept, with the load on its disk and processor that this takes.

Cause: compaction is due once CompactAfterBytes were written since the last one began, and it wrote its copies through the function that counts them.

Copies are written without being counted, so each 96 MB of new records cost one copy of what is live. Before it was L + 96 MB, or somewhat over 2 L with more than 96 MB live. A limit relative to the live size would take more with more than 96 MB live.

--- a/packages/quorum/include/tamarack/quorum/LedgerNode.h
+++ b/packages/quorum/include/tamarack/quorum/LedgerNode.h
@@ -51,7 +51,8 @@
   /// Set when the whole system starts for the first time, with empty disks.
   bool FirstStart = false;
   /// The number of bytes written to the journal after which it is compacted:
-  /// live records are written to a new segment and old segments are removed.
+  /// live records are copied to a new segment and old segments are removed. The
+  /// copies do not count.
   /// The default is a fifth of the smallest disk (470 MB), or two minutes of
   /// traffic on a busy day.
   std::uint64_t CompactAfterBytes = 96U << 20U;
--- a/packages/quorum/src/LedgerNode.cpp
+++ b/packages/quorum/src/LedgerNode.cpp
@@ -13,6 +13,12 @@
 constexpr std::size_t MaxQueuedDiskBytes = 1U << 20U;
 constexpr Duration DiskPause = std::chrono::milliseconds(10);
 
+std::string encodeRecord(const TurnRecord &Record) {
+  std::string Frame;
+  Json::to_cbor(Json(Record), Frame);
+  return Frame;
+}
+
 } // namespace
 
 Expected<void> LedgerNode::Impl::load() {
@@ -69,14 +75,17 @@
 
 void LedgerNode::Impl::persist(const TurnRecord &Record,
                                DiskThread::WriteCallback Done) {
-  std::string Frame;
-  Json::to_cbor(Json(Record), Frame);
-  persistFrame(Record, std::move(Frame), std::move(Done));
+  persistFrame(Record, encodeRecord(Record), std::move(Done));
 }
 
 void LedgerNode::Impl::persistFrame(const TurnRecord &Record, std::string Frame,
                                     DiskThread::WriteCallback Done) {
-  BytesSinceRoll += Frame.size();
+  BytesToCompact += Frame.size();
+  writeFrame(Record, std::move(Frame), std::move(Done));
+}
+
+void LedgerNode::Impl::writeFrame(const TurnRecord &Record, std::string Frame,
+                                  DiskThread::WriteCallback Done) {
   if (!Record.Text) {
     Disk->write(std::move(Frame), std::move(Done));
     return;
@@ -101,23 +110,25 @@
   const auto Self = shared_from_this();
   while (!Stopped) {
     co_await pause(Io, MaintenanceInterval);
-    if (BytesSinceRoll > Options.CompactAfterBytes)
+    if (BytesToCompact > Options.CompactAfterBytes)
       co_await compact();
   }
 }
 
 /// Writes all live records to a new segment, then removes the older segments.
 Task<void> LedgerNode::Impl::compact() {
-  BytesSinceRoll = 0;
+  BytesToCompact = 0;
   Disk->roll(nullptr);
   adopt(CurrentView, nullptr);
   const std::vector<RecordSummary> Records = Store.summaries();
   std::size_t Processed = 0;
   for (const RecordSummary &Summary : Records) {
-    if (const Expected<TurnRecord> Record = Store.record(Summary.Turn))
-      persist(*Record, nullptr);
-    else if (Record.error().Kind != ErrorKind::UnknownProgram)
+    if (const Expected<TurnRecord> Record = Store.record(Summary.Turn)) {
+      std::string Frame = encodeRecord(*Record);
+      writeFrame(*Record, std::move(Frame), nullptr);
+    } else if (Record.error().Kind != ErrorKind::UnknownProgram) {
       co_return; // Keep the old segments, which hold the unreadable text.
+    }
     co_await waitForDisk();
     if (++Processed % RecordsPerBatch == 0)
       co_await pause(Io, DiskPause);
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -85,7 +85,10 @@
   std::unordered_map<std::string, EndpointId> RanAt;
   std::uint64_t RecordsStored = 0;
   std::uint64_t Refused = 0;
-  std::uint64_t BytesSinceRoll = 0;
+  /// The bytes of records that were written since the last compaction began.
+  /// Those that it copied itself are not counted: more live records than
+  /// CompactAfterBytes would cause the next one at once.
+  std::uint64_t BytesToCompact = 0;
   const TimePoint StartedAt = steadyNow();
   /// Members that keep their connection but do not answer pings, and since
   /// when.
@@ -205,6 +208,9 @@
   /// \p Frame is the journal encoding of \p Record.
   void persistFrame(const TurnRecord &Record, std::string Frame,
                     DiskThread::WriteCallback Done);
+  /// The same for a record that compaction copies.
+  void writeFrame(const TurnRecord &Record, std::string Frame,
+                  DiskThread::WriteCallback Done);
   /// Returns once little is queued for the disk, so that texts that are copied
   /// do not gather in memory.
   Task<void> waitForDisk();
