Fetch from ledgers that are linked first when a standby ledger joins

What callers saw: after the loss of a ledger, 2.2 to 3.5 s more with one ledger fewer, and without service where no more could be missing. The standby ledger asked the holders of records in the order of the view, also the one that it had just replaced as lost, and waited for the whole time-out of that call, 2.5 s.

Which holders are asked does not change, only the order.

All of quorum_test passes.

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -281,7 +281,13 @@
   }
   const std::size_t Needed = requiredSources(Of, Options.DurableCopies);
   std::size_t Complete = 0;
-  for (const RecordHolder &Source : otherHolders(Of)) {
+  // A holder that is down would take the whole timeout of a call.
+  std::vector<RecordHolder> Sources = otherHolders(Of);
+  std::stable_partition(Sources.begin(), Sources.end(),
+                        [this](const RecordHolder &Holder) {
+                          return linkTo(Holder.Address)->isConnected();
+                        });
+  for (const RecordHolder &Source : Sources) {
     if (Complete == Needed || CurrentView.Number != Of.Number)
       break;
     bool Fetched = FetchedFrom.count(Source.Folder) > 0;
