Limit what the kernel holds of the connections of callers and endpoints

Bytes in the kernel count as memory of the instance, and a process that passes its limit is killed with all requests that it holds.

Cause: no socket sets a receive buffer, so the kernel lets each grow to 32 MB here while it is read fast, and keeps what arrives when the entry does not get to run.

The receive buffer is a 256th of the memory account now, 32 to 256 kB; the account counts what was read, and 256 connections that nothing is read of take as much again.

Red before: `net` TheKernelHoldsLittleOfAConnection, 2 of 2 (131,072 > 65,536).

It costs rate on long messages: a window of 86 to 107 kB at 40 ms for the way and back is 2.1 to 2.7 MB a second for one connection (reckoned, not measured).

--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -2,6 +2,7 @@
 
 #include "HttpConnection.h"
 #include "PieceBody.h"
+#include "ReceiveBuffer.h"
 
 #include <algorithm>
 
@@ -101,6 +102,7 @@
   if (!Socket)
     co_return tl::unexpected(Socket.error());
   configureSocket(*Socket, Limits.AckTimeout);
+  internal::limitReceiveBuffer(*Socket, Limits.Memory.get());
   if (Limits.EnableKeepAliveProbes)
     enableKeepAliveProbes(*Socket);
   co_return std::make_unique<HttpConnection>(Address, std::move(*Socket));
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -1,4 +1,5 @@
 #include "HttpSession.h"
+#include "ReceiveBuffer.h"
 
 #include "tamarack/net/Log.h"
 
@@ -121,6 +122,7 @@
   if (!Listener)
     return tl::unexpected(Listener.error());
   Inner->Listener = std::move(*Listener);
+  internal::limitReceiveBuffer(*Inner->Listener, Inner->Memory.get());
   Inner->Accepting = true;
   spawn(Inner->Io, [](std::shared_ptr<Impl> Self) -> Task<void> {
     std::function<void(Tcp::socket)> Accepted = [Self](Tcp::socket Socket) {
