Plan how a ledger leaves in a function over views

How a retiring ledger goes on was decided inside LedgerNode::retire(), and the random histories of views had a copy of the decision. planLeave() is used by both now; nothing else changes, so that a model of all histories can run it.

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -413,35 +413,33 @@
   if (Latest->Number > Self->CurrentView.Number)
     Self->adopt(*Latest, nullptr);
   const FolderId Folder = Self->Log->folderId();
-  View Before = Self->CurrentView;
-  const ViewMember *Member = findMember(Before, Folder);
+  const ViewMember *Member = findMember(Self->CurrentView, Folder);
   const bool IsFetching =
       Member != nullptr && !Member->Joined && !Member->Leaving;
-  if (IsFetching || listsLostFolder(Before, Self->self()))
+  if (IsFetching || listsLostFolder(Self->CurrentView, Self->self()))
     co_return false;
-  if (Member != nullptr && Member->Joined) {
-    const View Next = withMemberLeaving(Before, Folder);
-    if (joinedCount(Next) < Self->Options.DurableCopies)
-      co_return false;
-    std::string Reason = "is leaving";
-    const bool Done =
-        co_await Self->replaceView(Before, Next, std::move(Reason));
-    if (!Done)
-      co_return false;
-  }
   const TimePoint Deadline = steadyNow() + CatchUpTimeout;
   while (steadyNow() < Deadline) {
     // Another ledger may have taken the place meanwhile.
-    Before = Self->CurrentView;
+    const View Before = Self->CurrentView;
     if (!holdsRecords(Before, Folder))
       co_return true;
-    const bool AllCaughtUp = co_await Self->askMembersToCatchUp(Before);
-    const View Next = withoutHolder(Before, Folder);
-    if (AllCaughtUp && joinedCount(Next) >=
-                           requiredCopies(Next, Self->Options.DurableCopies)) {
-      std::string Reason = "has left";
-      co_return co_await Self->replaceView(Before, Next, std::move(Reason));
+    Member = findMember(Before, Folder);
+    const bool IsJoined = Member != nullptr && Member->Joined;
+    if (!IsJoined) {
+      co_await Self->askMembersToCatchUp(Before);
     }
+    const LeavePlan Plan = planLeave(Before, Folder, Self->CaughtUpMembers,
+                                     Self->Options.DurableCopies);
+    if (Plan.Next) {
+      const bool Done =
+          co_await Self->replaceView(Before, *Plan.Next, Plan.Reason);
+      if (!Done)
+        co_return false;
+      continue;
+    }
+    if (IsJoined)
+      co_return false;
     co_await pause(Self->Io, CatchUpPollInterval);
   }
   co_return false;
@@ -528,11 +526,10 @@
   co_return State->othersLeft() >= Needed;
 }
 
-Task<bool> LedgerNode::Impl::askMembersToCatchUp(View Remaining) {
+Task<void> LedgerNode::Impl::askMembersToCatchUp(View Remaining) {
   const Json Body{{"view", Remaining},
                   {"from", publicAddress()},
                   {"folder", Log->folderId()}};
-  bool AllCaughtUp = true;
   for (const ViewMember &Other : Remaining.Members) {
     if (!Other.Joined || CaughtUpMembers.count(Other.Folder) > 0)
       continue;
@@ -543,10 +540,7 @@
         parseReply<AdoptResponse>(Done, calls::CatchUp, Other.Address);
     if (Reply && Reply->Refusal == LedgerRefusal::None)
       CaughtUpMembers.insert(Other.Folder);
-    else
-      AllCaughtUp = false;
   }
-  co_return AllCaughtUp;
 }
 
 } // namespace tamarack
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -190,8 +190,7 @@
   /// failed or held another view.
   Task<bool> replaceView(View Before, View Next, std::string Reason);
   /// Asks the joined members of \p Remaining to fetch the records of this one.
-  /// Returns whether all of them have.
-  Task<bool> askMembersToCatchUp(View Remaining);
+  Task<void> askMembersToCatchUp(View Remaining);
   /// Returns whether records can be stored while this ledger is down.
   Task<bool> isDispensable();
   void handlePing(const Json &Body, const LinkServer::Reply &Answer);
--- a/packages/turns/include/tamarack/turns/View.h
+++ b/packages/turns/include/tamarack/turns/View.h
@@ -149,6 +149,20 @@
                   const std::set<FolderId> &Unreachable,
                   const ViewRules &Rules);
 
+struct LeavePlan {
+  /// The view to write; empty if there is none at the moment.
+  std::optional<View> Next;
+  /// Explains the decision in logs.
+  std::string Reason;
+};
+
+/// Plans the next step of the record holder \p Folder, which retires. \p
+/// CaughtUp holds the folders of the members that have fetched all its records
+/// since it began to leave.
+LeavePlan planLeave(const View &Current, const FolderId &Folder,
+                    const std::set<FolderId> &CaughtUp,
+                    std::size_t DurableCopies);
+
 /// Returns the successor of \p Current in which \p Folder is joined.
 View withMemberJoined(const View &Current, const FolderId &Folder);
 /// Returns the successor of \p Current in which \p Folder is leaving.
--- a/packages/turns/src/View.cpp
+++ b/packages/turns/src/View.cpp
@@ -270,6 +270,27 @@
   return Plan;
 }
 
+LeavePlan planLeave(const View &Current, const FolderId &Folder,
+                    const std::set<FolderId> &CaughtUp,
+                    std::size_t DurableCopies) {
+  const ViewMember *Member = findMember(Current, Folder);
+  if (Member != nullptr && Member->Joined) {
+    View Next = withMemberLeaving(Current, Folder);
+    if (joinedCount(Next) < DurableCopies)
+      return {{}, "waiting: too few members would be left"};
+    return {std::move(Next), "is leaving"};
+  }
+  const bool AllCaughtUp =
+      std::all_of(Current.Members.begin(), Current.Members.end(),
+                  [&](const ViewMember &Each) {
+                    return !Each.Joined || CaughtUp.count(Each.Folder) > 0;
+                  });
+  View Next = withoutHolder(Current, Folder);
+  if (!AllCaughtUp || joinedCount(Next) < requiredCopies(Next, DurableCopies))
+    return {{}, "waiting: too few members have its records"};
+  return {std::move(Next), "has left"};
+}
+
 View withMemberJoined(const View &Current, const FolderId &Folder) {
   View Next = Current;
   Next.Number = Current.Number + 1;
--- a/packages/turns/test/ViewHistoryTest.cpp
+++ b/packages/turns/test/ViewHistoryTest.cpp
@@ -236,29 +236,20 @@
   }
 
   void retire(Ledger &Of, std::size_t Choice) {
-    const ViewMember *Member = findMember(Current, Of.Self.Folder);
-    if (Member != nullptr && Member->Joined) {
-      if (joinedCount(Current) - 1 >= Losses + 1)
-        change(Of, withMemberLeaving(Current, Of.Self.Folder));
-      return;
-    }
     if (!holdsRecords(Current, Of.Self.Folder))
       return;
-    const ViewMember &Next = Current.Members[Choice % Current.Members.size()];
-    Ledger *To = findUp(Next.Folder);
-    if (Next.Joined && To != nullptr) {
+    const ViewMember *Member = findMember(Current, Of.Self.Folder);
+    const ViewMember &Other = Current.Members[Choice % Current.Members.size()];
+    Ledger *To = findUp(Other.Folder);
+    const bool IsJoined = Member != nullptr && Member->Joined;
+    if (!IsJoined && Other.Joined && To != nullptr) {
       fetchFrom(*To, Of.Self.Folder);
-      Of.CaughtUp.insert(Next.Folder);
+      Of.CaughtUp.insert(Other.Folder);
     }
-    const bool AllCaughtUp =
-        std::all_of(Current.Members.begin(), Current.Members.end(),
-                    [&](const ViewMember &Each) {
-                      return !Each.Joined || Of.CaughtUp.count(Each.Folder) > 0;
-                    });
-    const View Without = withoutHolder(Current, Of.Self.Folder);
-    if (AllCaughtUp &&
-        joinedCount(Current) >= requiredCopies(Without, Losses + 1))
-      change(Of, Without);
+    const LeavePlan Plan =
+        planLeave(Current, Of.Self.Folder, Of.CaughtUp, Losses + 1);
+    if (Plan.Next)
+      change(Of, *Plan.Next);
   }
 
   void change(Ledger &By, const View &Next) {
