--- a/cmake/TamarackPackage.cmake
+++ b/cmake/TamarackPackage.cmake
@@ -37,8 +37,8 @@
 endfunction()
 
 # tamarack_test(NAME LIBRARY FILES...): one test program, known to ctest. Cases
-# of KNOWN-RED.txt, which have a ctest entry of their own, are named in the target
-# property TAMARACK_KNOWN_RED.
+# that have a ctest entry of their own, as those of KNOWN-RED.txt must, are named
+# in the target property TAMARACK_OWN_ENTRY.
 function(tamarack_test Name Library)
   add_executable(${Name}_test ${ARGN} ${CMAKE_SOURCE_DIR}/cmake/TestMain.cpp)
   target_include_directories(${Name}_test PRIVATE test)
@@ -46,9 +46,9 @@
     TAMARACK_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
   target_link_libraries(${Name}_test PRIVATE ${Library}
     Boost::unit_test_framework rapidcheck)
-  set(KnownRed $<TARGET_PROPERTY:${Name}_test,TAMARACK_KNOWN_RED>)
+  set(OwnEntry $<TARGET_PROPERTY:${Name}_test,TAMARACK_OWN_ENTRY>)
   add_test(NAME ${Name} COMMAND ${Name}_test --log_level=test_suite
-    "$<$<BOOL:${KnownRed}>:--run_test=!${KnownRed}>" COMMAND_EXPAND_LISTS)
+    "$<$<BOOL:${OwnEntry}>:--run_test=!${OwnEntry}>" COMMAND_EXPAND_LISTS)
   # RapidCheck draws the same histories on every run.
   set_tests_properties(${Name} PROPERTIES
     ENVIRONMENT "RC_PARAMS=seed=20261203" TIMEOUT 300)
