Log why a ledger does not join or does not leave

A standby ledger that fetched from too few holders tried again without a word, so that the number of holders it needs was in no line; the same for a retiring ledger that may not leave yet. ledger.fetch_incomplete tells the first, and ledger.leave_delayed the second, once for each reason.

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -3,6 +3,7 @@
 #include "tamarack/net/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarack {
 namespace {
@@ -300,6 +301,12 @@
       ++Complete;
     }
   }
+  if (Complete < Needed)
+    LogLine("ledger.fetch_incomplete")
+        .with("view", Of.Number)
+        .with("fetched", Complete)
+        .with("needed", Needed)
+        .with("holders", Sources.size());
   co_return Complete == Needed &&CurrentView.Number == Of.Number;
 }
 
@@ -419,6 +426,7 @@
   if (IsFetching || listsLostFolder(Self->CurrentView, Self->self()))
     co_return false;
   const TimePoint Deadline = steadyNow() + CatchUpTimeout;
+  std::string DelayedFor;
   while (steadyNow() < Deadline) {
     // Another ledger may have taken the place meanwhile.
     const View Before = Self->CurrentView;
@@ -438,6 +446,12 @@
         co_return false;
       continue;
     }
+    if (std::exchange(DelayedFor, Plan.Reason) != Plan.Reason)
+      LogLine("ledger.leave_delayed")
+          .with("view", Before.Number)
+          .with("reason", Plan.Reason)
+          .with("joined", joinedCount(Before))
+          .with("caught_up", Self->CaughtUpMembers.size());
     if (IsJoined)
       co_return false;
     co_await pause(Self->Io, CatchUpPollInterval);
