Fetch from as many holders as can have a record that is lacking

What callers saw: after a ledger had retired beside one on standby, and one loss that the deployment tolerates, no turn was served any more; turns that ran ended at their timeouts.

Cause: requiredSources() took the number of holders to fetch from as members - copies + 1, as if each place without a holder stood for lost records. A place that was free stands for none, nor does one whose holder left after the joined members had its records. With three members of which one fetches, and one lost, it asked for two holders where the one that is left has every record. The view did not say which of the two a place was.

A member that fetches is now marked at_free_place if its place lost no records; such places do not count. Mark and place are carried over when another ledger takes over from one that fetched, and a place whose disk is lost is not marked. A view of an earlier release has no mark, so that its ledgers ask for more, as before.

Why it works: the records of a holder that left are on all joined members, at least as many as the copies; all others are on that many of the places that are left, none of them a free one. So places - copies of them lack a record at most.

--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -449,6 +449,24 @@
   BOOST_TEST(chain("a") == "in a, out a; ");
 }
 
+/// Guards against a standby ledger that waits for two holders at a place that
+/// was free, where the one that is left has every record, and never joins.
+BOOST_FIXTURE_TEST_CASE(WhenAMemberIsLostWhileALedgerJoinsAtAFreePlace,
+                        QuorumFixture) {
+  startAll();
+  useCurrentView();
+  BOOST_REQUIRE(storeRecord(turn("a")));
+  BOOST_TEST(await(Nodes[1]->retire()));
+  stop(1);
+  start(4);
+  until([this] { return Views.Current.Members.size() == 3; });
+  wipe(3);
+  until([this] { return joinedCount() == 2; });
+  useCurrentView();
+  BOOST_REQUIRE(storeRecord(turn("b", "a")));
+  BOOST_TEST(chain("b") == "in a, out a; in b, out b; ");
+}
+
 /// A ledger that comes back with an empty disk answers at the address of a
 /// member whose records it does not have. Counted as that member, it lets
 /// others join without the records that the member had.
--- a/packages/turns/include/tamarack/turns/View.h
+++ b/packages/turns/include/tamarack/turns/View.h
@@ -9,11 +9,12 @@
 ///     ... compare-and-swap *Plan.Next ...
 ///
 /// Every change replaces or removes at most one joined member. Each place of a
-/// view has a *record holder*: the joined member, a member that is leaving, or,
-/// while a new member fetches, the predecessor that it replaces. Every
-/// acknowledged record is on all but `members - required copies` of the
-/// holders, so a ledger is marked as joined once it has fetched the records of
-/// one holder more than that. From then on these holders refuse older views.
+/// view but a *free* one has a *record holder*: the joined member, a member that
+/// is leaving, or, while a new member fetches, the predecessor that it replaces.
+/// With as many places that are not free, every acknowledged record is on all
+/// but `places - required copies` of the holders, so a ledger is marked as
+/// joined once it has fetched the records of one holder more than that. From
+/// then on these holders refuse older views.
 #ifndef TAMARACK_TURNS_VIEW_H
 #define TAMARACK_TURNS_VIEW_H
 
@@ -59,6 +60,10 @@
   /// takes its place again if it comes back first. Empty if there was none or
   /// its folder is known to be lost.
   std::optional<RecordHolder> Predecessor = {};
+  /// Set until the member has joined if no records are lost with its place: the
+  /// place was free, or its holder left once the joined members had its
+  /// records.
+  bool AtFreePlace = false;
 
   friend bool operator==(const ViewMember &, const ViewMember &) = default;
 };
@@ -100,8 +105,8 @@
 std::vector<RecordHolder> listedLedgers(const View &Of);
 /// Returns how many record holders of \p Of a ledger must fetch from to be sure
 /// to get every stored record: enough that each set of required copies includes
-/// one of them. Fewer only if more folders are known to be lost than the copies
-/// allow for; at least one.
+/// one of them. A free place holds no copy, so it does not count. Fewer only if
+/// more folders are known to be lost than the copies allow for; at least one.
 std::size_t requiredSources(const View &Of, std::size_t DurableCopies);
 
 /// Returns whether what a ledger has fetched since \p Before counts in \p
@@ -170,7 +175,7 @@
 /// Returns the successor of \p Current without the member \p Folder.
 View withoutMember(const View &Current, const FolderId &Folder);
 /// Returns the successor of \p Current in which \p Folder is neither a member
-/// nor a predecessor. Right only if all joined members hold its records, and if
+/// nor a predecessor; a place that another ledger has taken is free. Right only if all joined members hold its records, and if
 /// they are as many as the copies that the successor requires.
 View withoutHolder(const View &Current, const FolderId &Folder);
 
--- a/packages/turns/src/View.cpp
+++ b/packages/turns/src/View.cpp
@@ -30,6 +30,8 @@
   return nullptr;
 }
 
+std::size_t majorityOf(std::size_t Members) { return Members / 2 + 1; }
+
 RecordHolder holderFrom(const ViewMember &Member) {
   return {Member.Folder, Member.Instance, Member.DataCentre, Member.Address};
 }
@@ -111,6 +113,8 @@
     Value["leaving"] = true;
   if (Member.Predecessor)
     Value["predecessor"] = *Member.Predecessor;
+  if (Member.AtFreePlace)
+    Value["at_free_place"] = true;
 }
 
 void from_json(const Json &Value, ViewMember &Member) {
@@ -119,8 +123,10 @@
   Value.at("data_centre").get_to(Member.DataCentre);
   Value.at("address").get_to(Member.Address);
   Value.at("joined").get_to(Member.Joined);
-  // Views of earlier releases have neither.
+  // Views of earlier releases have none of the following. Without the mark of a
+  // free place, its member fetches from more holders than it must.
   Member.Leaving = Value.value("leaving", false);
+  Member.AtFreePlace = Value.value("at_free_place", false);
   Member.Predecessor.reset();
   if (const auto Found = Value.find("predecessor"); Found != Value.end())
     Member.Predecessor = Found->get<RecordHolder>();
@@ -159,7 +165,7 @@
   return nullptr;
 }
 
-std::size_t quorumSize(const View &Of) { return Of.Members.size() / 2 + 1; }
+std::size_t quorumSize(const View &Of) { return majorityOf(Of.Members.size()); }
 
 std::size_t requiredCopies(const View &Of, std::size_t DurableCopies) {
   return std::max(quorumSize(Of), DurableCopies);
@@ -197,11 +203,15 @@
 }
 
 std::size_t requiredSources(const View &Of, std::size_t DurableCopies) {
-  const std::size_t Members = Of.Members.size();
+  // The places that hold records or have lost them, as in the view before a
+  // free place was taken.
+  const auto Places = static_cast<std::size_t>(
+      std::count_if(Of.Members.begin(), Of.Members.end(),
+                    [](const ViewMember &Each) { return !Each.AtFreePlace; }));
   const std::size_t Copies =
-      std::min(Members, requiredCopies(Of, DurableCopies));
+      std::min(Places, std::max(majorityOf(Places), DurableCopies));
   return std::max<std::size_t>(
-      1, std::min(recordHolders(Of).size(), Members - Copies + 1));
+      1, std::min(recordHolders(Of).size(), Places - Copies + 1));
 }
 
 bool keepsSources(const View &Before, const View &After) {
@@ -246,9 +256,11 @@
   JoinPlan Plan;
   View Next = Current;
   ViewMember Added = Self;
+  Added.AtFreePlace = ToReplace == nullptr;
   if (ToReplace != nullptr) {
     Plan.Replaced = *ToReplace;
     Added.Predecessor = recordHolder(*ToReplace);
+    Added.AtFreePlace = ToReplace->AtFreePlace;
     // The folder of the same instance is lost.
     if (Added.Predecessor && Added.Predecessor->Instance == Self.Instance)
       Added.Predecessor.reset();
@@ -298,6 +310,7 @@
     if (Member.Folder == Folder) {
       Member.Joined = true;
       Member.Predecessor.reset();
+      Member.AtFreePlace = false;
     }
   return Next;
 }
@@ -316,8 +329,10 @@
 View withoutHolder(const View &Current, const FolderId &Folder) {
   View Next = withoutMember(Current, Folder);
   for (ViewMember &Member : Next.Members)
-    if (Member.Predecessor && Member.Predecessor->Folder == Folder)
+    if (Member.Predecessor && Member.Predecessor->Folder == Folder) {
       Member.Predecessor.reset();
+      Member.AtFreePlace = true;
+    }
   return Next;
 }
 
--- a/packages/turns/test/ViewHistoryTest.cpp
+++ b/packages/turns/test/ViewHistoryTest.cpp
@@ -171,13 +171,15 @@
     return nullptr;
   }
 
-  /// The places whose holder's folder is lost and known to be.
+  /// The places whose holder's folder is lost and known to be. A free place has
+  /// lost nothing.
   std::size_t vacatedPlaces() const {
-    return static_cast<std::size_t>(std::count_if(
-        Current.Members.begin(), Current.Members.end(),
-        [](const ViewMember &Member) {
-          return !Member.Joined && !Member.Leaving && !Member.Predecessor;
-        }));
+    return static_cast<std::size_t>(
+        std::count_if(Current.Members.begin(), Current.Members.end(),
+                      [](const ViewMember &Member) {
+                        return !Member.Joined && !Member.Leaving &&
+                               !Member.Predecessor && !Member.AtFreePlace;
+                      }));
   }
 
   bool listsLostFolder(const Ledger &Of) const {
--- a/packages/turns/test/ViewModel.cpp
+++ b/packages/turns/test/ViewModel.cpp
@@ -111,8 +111,9 @@
   Out.push_back(static_cast<char>(Of.Members.size()));
   for (const ViewMember &Member : Of.Members) {
     Out.push_back(static_cast<char>(folderNumber(Member.Folder)));
-    Out.push_back(
-        static_cast<char>((Member.Joined ? 1 : 0) + (Member.Leaving ? 2 : 0)));
+    Out.push_back(static_cast<char>((Member.Joined ? 1 : 0) +
+                                    (Member.Leaving ? 2 : 0) +
+                                    (Member.AtFreePlace ? 4 : 0)));
     Out.push_back(static_cast<char>(
         Member.Predecessor ? 1 + folderNumber(Member.Predecessor->Folder) : 0));
   }
@@ -166,6 +167,7 @@
       const unsigned Flags = number();
       Member.Joined = (Flags & 1U) != 0;
       Member.Leaving = (Flags & 2U) != 0;
+      Member.AtFreePlace = (Flags & 4U) != 0;
       if (const unsigned Predecessor = number(); Predecessor > 0)
         Member.Predecessor = holderWith(Predecessor - 1);
       Result.Members.push_back(std::move(Member));
--- a/packages/turns/test/ViewTest.cpp
+++ b/packages/turns/test/ViewTest.cpp
@@ -178,6 +178,67 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against a ledger that waits for more holders than can have a record
+/// that it lacks, and never joins after a loss that the deployment tolerates.
+BOOST_AUTO_TEST_SUITE(IsFetchedFromOneOfTwoHoldersWithEveryRecord)
+
+BOOST_AUTO_TEST_CASE(AtAPlaceThatWasFree) {
+  const View Current = viewOf({member("1"), member("2")});
+  const View Joining =
+      *planJoin(Current, member("3", false), {}, DefaultRules).Next;
+  BOOST_TEST(requiredSources(Joining, 2) == 1U);
+  BOOST_TEST(requiredSources(withMemberJoined(Joining, FolderId("folder-3")),
+                             2) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(AtAPlaceThatAMemberHasLeft) {
+  const View Leaving = withMemberLeaving(
+      viewOf({member("1"), member("2"), member("3")}), FolderA);
+  const View Joining =
+      *planJoin(Leaving, member("4", false), {}, DefaultRules).Next;
+  BOOST_TEST(requiredSources(Joining, 2) == 2U);
+  BOOST_TEST(requiredSources(withoutHolder(Joining, FolderA), 2) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AtAFreePlaceThatAnotherLedgerHadTaken) {
+  const View Current = viewOf({member("1"), member("2")});
+  const View First =
+      *planJoin(Current, member("3", false), {}, DefaultRules).Next;
+  const View Next =
+      *planJoin(First, member("4", false), {FolderId("folder-3")}, DefaultRules)
+           .Next;
+  BOOST_TEST(describe({Next, {}, ""}) == "1 2 4? ");
+  BOOST_TEST(requiredSources(Next, 2) == 1U);
+  BOOST_TEST((*parseView(Json(Next).dump()) == Next));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(IsFetchedFromTwoHolders)
+
+/// The records of a lost disk may be on either of the other members only.
+BOOST_AUTO_TEST_CASE(AtAPlaceWhoseDiskIsLost) {
+  ViewMember Returned = member("3", false);
+  Returned.Folder = FolderId("fresh");
+  const View Joining =
+      *planJoin(viewOf({member("1"), member("2"), member("3")}), Returned, {},
+                DefaultRules)
+           .Next;
+  BOOST_TEST(describe({Joining, {}, ""}) == "1 2 3? ");
+  BOOST_TEST(requiredSources(Joining, 2) == 2U);
+}
+
+/// A fourth place raises the copies to three, but earlier records are on two.
+BOOST_AUTO_TEST_CASE(AtAFreePlaceThatRaisesTheNumberOfCopies) {
+  const View Joining =
+      *planJoin(viewOf({member("1"), member("2"), member("3")}),
+                member("4", false), {}, {4, 2, false})
+           .Next;
+  BOOST_TEST(requiredSources(Joining, 2) == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 /// A ledger that replaced a member and has not joined yet.
 BOOST_AUTO_TEST_SUITE(WithAPredecessor)
 
