Let a ledger leave only while enough others answer

What callers saw: a ledger retires while or just before another member is lost, and one joined member is left; no turn is served until a successor has fetched, or ever if there is none, although the disk of the leaving ledger was there.

Cause: retire() counted joined members, not those that are there.

A retiring ledger pings the other joined members now, and begins to leave, and leaves, only while as many as the copies answer and do not stop. If fewer answer while it is leaving, it is joined again (withMemberStaying) and the retirement starts anew; what it missed meanwhile is on enough others, as it was counted as a holder all along, so it does not fetch. The members that have its records are forgotten then.

LedgerMalformedReplyTest/ThatRetiresAsksAgain retired a ledger beside one that was down, which it now refuses before it asks anyone. The other ledger is up now; the check is the same.

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -35,8 +35,8 @@
 constexpr Duration CatchUpTimeout = std::chrono::seconds(5);
 /// How often the members are asked whether they have fetched them.
 constexpr Duration CatchUpPollInterval = std::chrono::milliseconds(100);
-/// How long a ledger that is about to stop waits for the answers of the others,
-/// which may be in another region, and how often it asks them.
+/// How long a ledger that is about to stop or to leave waits for the answers of
+/// the others, which may be in another region, and how often it asks them.
 constexpr Duration StopPingTimeout = std::chrono::milliseconds(400);
 constexpr Duration StopPollInterval = std::chrono::milliseconds(50);
 /// How long the links of a ledger that leaves may take to end: a process may
@@ -72,6 +72,11 @@
   }
 }
 
+bool isJoined(const View &Of, const FolderId &Folder) {
+  const ViewMember *Member = findMember(Of, Folder);
+  return Member != nullptr && Member->Joined;
+}
+
 /// Returns whether \p Of lists a folder of \p Self's instance that is lost.
 bool listsLostFolder(const View &Of, const ViewMember &Self) {
   const std::vector<RecordHolder> Listed = listedLedgers(Of);
@@ -432,17 +437,20 @@
     const View Before = Self->CurrentView;
     if (!holdsRecords(Before, Folder))
       co_return true;
-    Member = findMember(Before, Folder);
-    const bool IsJoined = Member != nullptr && Member->Joined;
-    if (!IsJoined) {
-      co_await Self->askMembersToCatchUp(Before);
-    }
+    const auto Answering = co_await Self->findAnsweringMembers(Before);
+    if (!Answering || Before.Number != Self->CurrentView.Number)
+      continue;
     const LeavePlan Plan = planLeave(Before, Folder, Self->CaughtUpMembers,
-                                     Self->Options.DurableCopies);
+                                     *Answering, Self->Options.DurableCopies);
+    const bool WasJoined = isJoined(Before, Folder);
     if (Plan.Next) {
+      const bool Stays = isJoined(*Plan.Next, Folder);
+      // Whether the view was written may be unknown, so before it is.
+      if (WasJoined || Stays)
+        Self->CaughtUpMembers.clear();
       const bool Done =
           co_await Self->replaceView(Before, *Plan.Next, Plan.Reason);
-      if (!Done)
+      if (!Done || Stays)
         co_return false;
       continue;
     }
@@ -451,9 +459,11 @@
           .with("view", Before.Number)
           .with("reason", Plan.Reason)
           .with("joined", joinedCount(Before))
+          .with("answering", Answering->size())
           .with("caught_up", Self->CaughtUpMembers.size());
-    if (IsJoined)
+    if (WasJoined)
       co_return false;
+    co_await Self->askMembersToCatchUp(Before, *Answering);
     co_await pause(Self->Io, CatchUpPollInterval);
   }
   co_return false;
@@ -540,12 +550,50 @@
   co_return State->othersLeft() >= Needed;
 }
 
-Task<void> LedgerNode::Impl::askMembersToCatchUp(View Remaining) {
+Task<std::optional<std::set<FolderId>>>
+LedgerNode::Impl::findAnsweringMembers(View Of) {
+  struct PingState {
+    std::size_t Asked = 0;
+    std::size_t Answered = 0;
+    std::set<FolderId> Serving;
+  };
+  const auto State = std::make_shared<PingState>();
+  const TimePoint Until = steadyNow() + StopPingTimeout;
+  for (const ViewMember &Other : Of.Members) {
+    if (!Other.Joined || Other.Folder == Log->folderId())
+      continue;
+    ++State->Asked;
+    linkTo(Other.Address)
+        ->call(calls::Ping, encodeBody(nullptr), Until,
+               [State, Folder = Other.Folder](const Expected<Json> &Answer) {
+                 ++State->Answered;
+                 const std::optional<PingResponse> Ping = parsePing(Answer);
+                 if (Ping && Ping->Folder == Folder && !Ping->Stopping)
+                   State->Serving.insert(Folder);
+               });
+  }
+  while (State->Answered < State->Asked)
+    co_await pause(Io, StopPollInterval / 10);
+  const Duration Late = steadyNow() - Until;
+  if (Late > StopPollInterval) {
+    // The others may have gone since they answered.
+    LogLine("ledger.stood_still")
+        .with("discarded", "answers of other ledgers about a retirement")
+        .with("took_ms", Late + StopPingTimeout);
+    co_return std::nullopt;
+  }
+  co_return State->Serving;
+}
+
+Task<void> LedgerNode::Impl::askMembersToCatchUp(View Remaining,
+                                                 std::set<FolderId> Answering) {
   const Json Body{{"view", Remaining},
                   {"from", publicAddress()},
                   {"folder", Log->folderId()}};
   for (const ViewMember &Other : Remaining.Members) {
-    if (!Other.Joined || CaughtUpMembers.count(Other.Folder) > 0)
+    // One that is down would take the whole timeout of a call.
+    if (!Other.Joined || Answering.count(Other.Folder) == 0 ||
+        CaughtUpMembers.count(Other.Folder) > 0)
       continue;
     const Expected<Json> Done =
         co_await callLink(Io, linkTo(Other.Address), calls::CatchUp,
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -189,8 +189,12 @@
   /// Replaces the view in the store and adopts it. Returns false if the store
   /// failed or held another view.
   Task<bool> replaceView(View Before, View Next, std::string Reason);
-  /// Asks the joined members of \p Remaining to fetch the records of this one.
-  Task<void> askMembersToCatchUp(View Remaining);
+  /// Returns the other joined members of \p Of that answer now and are not
+  /// about to stop; nothing if the answers are too old to rely on.
+  Task<std::optional<std::set<FolderId>>> findAnsweringMembers(View Of);
+  /// Asks the joined members of \p Remaining that are \p Answering to fetch the
+  /// records of this one.
+  Task<void> askMembersToCatchUp(View Remaining, std::set<FolderId> Answering);
   /// Returns whether records can be stored while this ledger is down.
   Task<bool> isDispensable();
   void handlePing(const Json &Body, const LinkServer::Reply &Answer);
--- a/packages/quorum/test/LedgerMalformedReplyTest.cpp
+++ b/packages/quorum/test/LedgerMalformedReplyTest.cpp
@@ -133,6 +133,9 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_CASE(ThatRetiresAsksAgainAfterAMalformedReply, Fixture) {
+  // A ledger begins to leave only while two others answer.
+  start(1);
+  until([this] { return Nodes[1]->status().IsJoined; });
   StandIn->MalformedReplies[calls::CatchUp] = Json("malformed");
   BOOST_TEST(!await(Nodes[3]->retire()));
   BOOST_TEST(StandIn->Calls[calls::CatchUp] >= 2);
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -623,6 +623,41 @@
   BOOST_TEST(chain("a") == "in a, out a; ");
 }
 
+/// Guards against a ledger that leaves on a member that is gone: one member is
+/// left, and no record can be stored.
+BOOST_FIXTURE_TEST_CASE(OnlyWhileEnoughOtherMembersAnswer, QuorumFixture) {
+  startAll();
+  useCurrentView();
+  stop(3);
+  BOOST_TEST(!await(Nodes[1]->retire()));
+  BOOST_TEST(Nodes[1]->status().IsJoined);
+  useCurrentView();
+  BOOST_REQUIRE(storeRecord(turn("a")));
+  start(3);
+  bool Retired = false;
+  until([&] {
+    Retired = Retired || await(Nodes[1]->retire());
+    return Retired;
+  });
+  BOOST_TEST(Views.Current.Members.size() == 2U);
+}
+
+/// Guards against the same when the other member is lost after it began to
+/// leave. What it missed meanwhile is on enough others.
+BOOST_FIXTURE_TEST_CASE(NotAtAllIfAnotherMemberIsLostMeanwhile, QuorumFixture) {
+  startAll();
+  Views.Current = withMemberLeaving(Views.Current, folderOf(1));
+  tellView();
+  useCurrentView();
+  BOOST_REQUIRE(storeRecord(turn("a")));
+  wipe(3);
+  BOOST_TEST(!await(Nodes[1]->retire()));
+  BOOST_TEST(Nodes[1]->status().IsJoined);
+  useCurrentView();
+  BOOST_REQUIRE(storeRecord(turn("b", "a")));
+  BOOST_TEST(chain("b") == "in a, out a; in b, out b; ");
+}
+
 /// A call that is answered only after the records were fetched looks like a
 /// silent connection, is sent again, and begins the fetch anew.
 BOOST_FIXTURE_TEST_CASE(AfterMembersThatAnswerAtOnceWhetherTheyCaughtUp,
--- a/packages/turns/include/tamarack/turns/View.h
+++ b/packages/turns/include/tamarack/turns/View.h
@@ -163,15 +163,22 @@
 
 /// Plans the next step of the record holder \p Folder, which retires. \p
 /// CaughtUp holds the folders of the members that have fetched all its records
-/// since it began to leave.
+/// since it began to leave, \p Answering those of the members that have answered
+/// just now. It begins to leave, and leaves, only while enough others answer to
+/// store records without it. If fewer do meanwhile, it takes its place again:
+/// it was counted among the holders, so it lacks no more than they may.
 LeavePlan planLeave(const View &Current, const FolderId &Folder,
                     const std::set<FolderId> &CaughtUp,
+                    const std::set<FolderId> &Answering,
                     std::size_t DurableCopies);
 
 /// Returns the successor of \p Current in which \p Folder is joined.
 View withMemberJoined(const View &Current, const FolderId &Folder);
 /// Returns the successor of \p Current in which \p Folder is leaving.
 View withMemberLeaving(const View &Current, const FolderId &Folder);
+/// Returns the successor of \p Current in which \p Folder, which was leaving, is
+/// joined again.
+View withMemberStaying(const View &Current, const FolderId &Folder);
 /// Returns the successor of \p Current without the member \p Folder.
 View withoutMember(const View &Current, const FolderId &Folder);
 /// Returns the successor of \p Current in which \p Folder is neither a member
--- a/packages/turns/src/View.cpp
+++ b/packages/turns/src/View.cpp
@@ -284,22 +284,30 @@
 
 LeavePlan planLeave(const View &Current, const FolderId &Folder,
                     const std::set<FolderId> &CaughtUp,
+                    const std::set<FolderId> &Answering,
                     std::size_t DurableCopies) {
+  bool AllCaughtUp = true;
+  std::size_t OthersAnswering = 0;
+  for (const ViewMember &Other : Current.Members) {
+    if (!Other.Joined || Other.Folder == Folder)
+      continue;
+    AllCaughtUp = AllCaughtUp && CaughtUp.count(Other.Folder) > 0;
+    OthersAnswering += Answering.count(Other.Folder);
+  }
   const ViewMember *Member = findMember(Current, Folder);
+  const bool OthersServe =
+      OthersAnswering >= requiredCopies(Current, DurableCopies);
   if (Member != nullptr && Member->Joined) {
-    View Next = withMemberLeaving(Current, Folder);
-    if (joinedCount(Next) < DurableCopies)
-      return {{}, "waiting: too few members would be left"};
-    return {std::move(Next), "is leaving"};
+    if (!OthersServe)
+      return {{}, "waiting: too few other members answer"};
+    return {withMemberLeaving(Current, Folder), "is leaving"};
   }
-  const bool AllCaughtUp =
-      std::all_of(Current.Members.begin(), Current.Members.end(),
-                  [&](const ViewMember &Each) {
-                    return !Each.Joined || CaughtUp.count(Each.Folder) > 0;
-                  });
+  if (Member != nullptr && !OthersServe)
+    return {withMemberStaying(Current, Folder),
+            "stays: too few other members answer"};
   View Next = withoutHolder(Current, Folder);
-  if (!AllCaughtUp || joinedCount(Next) < requiredCopies(Next, DurableCopies))
-    return {{}, "waiting: too few members have its records"};
+  if (!AllCaughtUp || OthersAnswering < requiredCopies(Next, DurableCopies))
+    return {{}, "waiting: too few members that answer have its records"};
   return {std::move(Next), "has left"};
 }
 
@@ -326,6 +334,14 @@
   return Next;
 }
 
+View withMemberStaying(const View &Current, const FolderId &Folder) {
+  View Next = withMemberJoined(Current, Folder);
+  for (ViewMember &Member : Next.Members)
+    if (Member.Folder == Folder)
+      Member.Leaving = false;
+  return Next;
+}
+
 View withoutHolder(const View &Current, const FolderId &Folder) {
   View Next = withoutMember(Current, Folder);
   for (ViewMember &Member : Next.Members)
--- a/packages/turns/test/ViewHistoryTest.cpp
+++ b/packages/turns/test/ViewHistoryTest.cpp
@@ -248,10 +248,18 @@
       fetchFrom(*To, Of.Self.Folder);
       Of.CaughtUp.insert(Other.Folder);
     }
+    std::set<FolderId> Answering;
+    for (const ViewMember &Each : Current.Members)
+      if (findUp(Each.Folder) != nullptr)
+        Answering.insert(Each.Folder);
     const LeavePlan Plan =
-        planLeave(Current, Of.Self.Folder, Of.CaughtUp, Losses + 1);
-    if (Plan.Next)
-      change(Of, *Plan.Next);
+        planLeave(Current, Of.Self.Folder, Of.CaughtUp, Answering, Losses + 1);
+    if (!Plan.Next)
+      return;
+    change(Of, *Plan.Next);
+    const ViewMember *Now = findMember(Current, Of.Self.Folder);
+    if (Now != nullptr && Now->Joined)
+      Of.CaughtUp.clear();
   }
 
   void change(Ledger &By, const View &Next) {
--- a/packages/turns/test/ViewModel.cpp
+++ b/packages/turns/test/ViewModel.cpp
@@ -483,11 +483,18 @@
       return;
     }
     const FolderSet CaughtUp = Of.Ledgers[Ledger].CaughtUp;
-    const LeavePlan Plan =
-        planLeave(Current, Own, foldersOf(CaughtUp), Options.DurableCopies);
+    std::set<FolderId> Answering;
+    for (const ViewMember &Each : Current.Members)
+      if (Of.isUp(Each.Folder))
+        Answering.insert(Each.Folder);
+    const LeavePlan Plan = planLeave(Current, Own, foldersOf(CaughtUp),
+                                     Answering, Options.DurableCopies);
     if (Plan.Next) {
       Successor Next{Of, Own.text() + " " + Plan.Reason, true};
       changeView(Next.State, Ledger, *Plan.Next);
+      if (const ViewMember *Now = findMember(*Plan.Next, Own);
+          Now != nullptr && Now->Joined)
+        Next.State.Ledgers[Ledger].CaughtUp = 0;
       Result.push_back(std::move(Next));
     }
     const ViewMember *Member = findMember(Current, Own);
--- a/packages/turns/test/ViewTest.cpp
+++ b/packages/turns/test/ViewTest.cpp
@@ -349,6 +349,49 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against a ledger that gives up its place while members that count as
+/// joined are gone, so that too few are left to store records.
+BOOST_AUTO_TEST_SUITE(OfAMemberThatRetires)
+
+const FolderId FolderC("folder-3");
+const std::set<FolderId> Others{FolderB, FolderC};
+
+View threeMembers() { return viewOf({member("1"), member("2"), member("3")}); }
+View leaving() { return withMemberLeaving(threeMembers(), FolderA); }
+
+BOOST_AUTO_TEST_CASE(LetsItLeaveOnceTheOthersHaveItsRecordsAndAnswer) {
+  const LeavePlan Begun = planLeave(threeMembers(), FolderA, {}, Others, 2);
+  BOOST_REQUIRE(Begun.Next);
+  BOOST_TEST((*Begun.Next == leaving()));
+  BOOST_TEST(!planLeave(leaving(), FolderA, {FolderB}, Others, 2).Next);
+  const LeavePlan Ended = planLeave(leaving(), FolderA, Others, Others, 2);
+  BOOST_REQUIRE(Ended.Next);
+  BOOST_TEST((*Ended.Next == withoutHolder(leaving(), FolderA)));
+}
+
+BOOST_AUTO_TEST_CASE(KeepsItWhileTooFewOthersAnswer) {
+  BOOST_TEST(!planLeave(threeMembers(), FolderA, {}, {FolderB}, 2).Next);
+  // Its own answer says nothing about the others.
+  BOOST_TEST(
+      !planLeave(threeMembers(), FolderA, {}, {FolderA, FolderB}, 2).Next);
+}
+
+BOOST_AUTO_TEST_CASE(LetsItTakeItsPlaceAgainWhenTooFewOthersAnswer) {
+  const LeavePlan Plan = planLeave(leaving(), FolderA, Others, {FolderC}, 2);
+  BOOST_REQUIRE(Plan.Next);
+  BOOST_TEST(Plan.Next->Number == leaving().Number + 1);
+  BOOST_TEST((Plan.Next->Members == threeMembers().Members));
+}
+
+BOOST_AUTO_TEST_CASE(KeepsItAsAPredecessorWhileTooFewOthersAnswer) {
+  const View Replaced =
+      *planJoin(leaving(), member("4", false), {}, DefaultRules).Next;
+  BOOST_TEST(!planLeave(Replaced, FolderA, Others, {FolderC}, 2).Next);
+  BOOST_TEST(planLeave(Replaced, FolderA, Others, Others, 2).Next.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(LosesThePlaceOfAMemberThatHasLeft) {
   const View Current = withMemberLeaving(
       viewOf({member("1"), member("2"), member("3")}), FolderA);
