Let a ledger leave once enough members have its records

What callers saw: nothing on three members. On five, one of which is gone for good, a retiring ledger could never leave: it waited for the records to be on every joined member, the gone one among them, and accepted none meanwhile, so that service hung on exactly three of three.

Cause: planLeave() counted over the list of joined members. As many as the copies of the next view are enough: the records that the leaving ledger has are on these, all others are on as many other places. Only members that answer count.

The model checks now that a retirement ends while enough other ledgers are left, that it does not leave too few disks, and, where ledgers suspect members wrongly, that one wrong answer about a member loses nothing.

AView/ OfAMemberThatRetires/LetsItLeaveWhileAMemberThatIsNotNeededIsGone.

--- a/packages/turns/include/tamarack/turns/View.h
+++ b/packages/turns/include/tamarack/turns/View.h
@@ -61,7 +61,7 @@
   /// its folder is known to be lost.
   std::optional<RecordHolder> Predecessor = {};
   /// Set until the member has joined if no records are lost with its place: the
-  /// place was free, or its holder left once the joined members had its
+  /// place was free, or its holder left once enough joined members had its
   /// records.
   bool AtFreePlace = false;
 
@@ -182,8 +182,9 @@
 /// Returns the successor of \p Current without the member \p Folder.
 View withoutMember(const View &Current, const FolderId &Folder);
 /// Returns the successor of \p Current in which \p Folder is neither a member
-/// nor a predecessor; a place that another ledger has taken is free. Right only if all joined members hold its records, and if
-/// they are as many as the copies that the successor requires.
+/// nor a predecessor; a place that another ledger has taken is free. Right only
+/// if as many joined members hold its records as the copies that the successor
+/// requires.
 View withoutHolder(const View &Current, const FolderId &Folder);
 
 } // namespace tamarack
--- a/packages/turns/src/View.cpp
+++ b/packages/turns/src/View.cpp
@@ -286,13 +286,14 @@
                     const std::set<FolderId> &CaughtUp,
                     const std::set<FolderId> &Answering,
                     std::size_t DurableCopies) {
-  bool AllCaughtUp = true;
   std::size_t OthersAnswering = 0;
+  std::size_t OthersCaughtUp = 0;
   for (const ViewMember &Other : Current.Members) {
-    if (!Other.Joined || Other.Folder == Folder)
+    if (!Other.Joined || Other.Folder == Folder ||
+        Answering.count(Other.Folder) == 0)
       continue;
-    AllCaughtUp = AllCaughtUp && CaughtUp.count(Other.Folder) > 0;
-    OthersAnswering += Answering.count(Other.Folder);
+    ++OthersAnswering;
+    OthersCaughtUp += CaughtUp.count(Other.Folder);
   }
   const ViewMember *Member = findMember(Current, Folder);
   const bool OthersServe =
@@ -306,7 +307,7 @@
     return {withMemberStaying(Current, Folder),
             "stays: too few other members answer"};
   View Next = withoutHolder(Current, Folder);
-  if (!AllCaughtUp || OthersAnswering < requiredCopies(Next, DurableCopies))
+  if (OthersCaughtUp < requiredCopies(Next, DurableCopies))
     return {{}, "waiting: too few members that answer have its records"};
   return {std::move(Next), "has left"};
 }
--- a/packages/turns/test/ViewModel.h
+++ b/packages/turns/test/ViewModel.h
@@ -29,7 +29,8 @@
   unsigned MaxDown = 1;
   /// Whether the last of the first members is ordered to retire at some moment.
   bool Retires = true;
-  /// Whether a ledger may take a member that answers for unreachable.
+  /// Whether a ledger may take a member that answers for unreachable, and a
+  /// retiring one may take a member for answering or not, wrongly.
   bool Suspects = true;
   /// Exploration ends after this number of states, and is incomplete then.
   std::size_t MaxStates = 3000000;
@@ -49,6 +50,13 @@
   /// States from which no steps of the ledgers lead to a view that serves,
   /// although enough disks are left.
   Violations Unserved;
+  /// States from which no steps of the ledgers complete a retirement, although
+  /// enough others are left.
+  Violations Unretired;
+  /// States in which a retirement has just left too few disks to serve. Counted
+  /// only without suspicions, since the last answer is always older than the
+  /// decision.
+  Violations Stranded;
 };
 
 Exploration explore(const ModelOptions &Options);
--- a/packages/turns/test/ViewTest.cpp
+++ b/packages/turns/test/ViewTest.cpp
@@ -383,6 +383,18 @@
   BOOST_TEST((Plan.Next->Members == threeMembers().Members));
 }
 
+/// Guards against a ledger that never leaves, and accepts nothing meanwhile,
+/// since one of more members than needed is gone for good.
+BOOST_AUTO_TEST_CASE(LetsItLeaveWhileAMemberThatIsNotNeededIsGone) {
+  const View FiveMembers = withMemberLeaving(
+      viewOf({member("1"), member("2"), member("3"), member("4"), member("5")}),
+      FolderA);
+  const std::set<FolderId> Left{FolderB, FolderC, FolderId("folder-4")};
+  BOOST_TEST(planLeave(FiveMembers, FolderA, Left, Left, 3).Next.has_value());
+  BOOST_TEST(
+      !planLeave(FiveMembers, FolderA, {FolderB, FolderC}, Left, 3).Next);
+}
+
 BOOST_AUTO_TEST_CASE(KeepsItAsAPredecessorWhileTooFewOthersAnswer) {
   const View Replaced =
       *planJoin(leaving(), member("4", false), {}, DefaultRules).Next;
