Let a retiring ledger read the view while it waits

It reads the view each second while it waits. Answers of members are used up to 0.2 s after their time limit: a link reports a missing one some 100 ms late, so that each round beside a member that is down was discarded as if the process had stood still.

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -39,6 +39,9 @@
 /// the others, which may be in another region, and how often it asks them.
 constexpr Duration StopPingTimeout = std::chrono::milliseconds(400);
 constexpr Duration StopPollInterval = std::chrono::milliseconds(50);
+/// How much later than that the answers may be used. A link reports a missing
+/// answer some 100 ms late, and a busy process stands still for as long.
+constexpr Duration MaxAnswerDelay = StopPingTimeout / 2;
 /// How long the links of a ledger that leaves may take to end: a process may
 /// stand still for 300 ms, and the way to another region and back takes 80 ms.
 constexpr Duration LinkEndTimeout = std::chrono::milliseconds(500);
@@ -127,14 +130,11 @@
                             CurrentView.Number < NewestViewNumber ||
                             CurrentView.Number == 0;
     if (IsOutdated) {
-      const Expected<View> Latest = co_await Views.readView();
-      if (!Latest) {
+      const bool IsRead = co_await readNewestView();
+      if (!IsRead) {
         co_await pause(Io, RetryInterval);
         continue;
       }
-      NewestViewNumber = Latest->Number;
-      if (Latest->Number > CurrentView.Number)
-        adopt(*Latest, nullptr);
     }
     Member = findMember(CurrentView, Log->folderId());
     if (Member == nullptr)
@@ -416,14 +416,22 @@
                               Encoded, Deadline);
 }
 
+Task<bool> LedgerNode::Impl::readNewestView() {
+  const Expected<View> Latest = co_await Views.readView();
+  if (!Latest)
+    co_return false;
+  NewestViewNumber = Latest->Number;
+  if (Latest->Number > CurrentView.Number)
+    adopt(*Latest, nullptr);
+  co_return true;
+}
+
 Task<bool> LedgerNode::retire() {
   const auto Self = Inner;
   Self->Retiring = true;
-  const Expected<View> Latest = co_await Self->Views.readView();
-  if (!Latest)
+  const bool IsRead = co_await Self->readNewestView();
+  if (!IsRead)
     co_return false;
-  if (Latest->Number > Self->CurrentView.Number)
-    Self->adopt(*Latest, nullptr);
   const FolderId Folder = Self->Log->folderId();
   const ViewMember *Member = findMember(Self->CurrentView, Folder);
   const bool IsFetching =
@@ -432,7 +440,13 @@
     co_return false;
   const TimePoint Deadline = steadyNow() + CatchUpTimeout;
   std::string DelayedFor;
+  TimePoint ReadAt = steadyNow() + ViewPollInterval;
   while (steadyNow() < Deadline) {
+    // Once a standby ledger has the place, nobody else tells this one of views.
+    if (steadyNow() >= ReadAt) {
+      ReadAt = steadyNow() + ViewPollInterval;
+      co_await Self->readNewestView();
+    }
     // Another ledger may have taken the place meanwhile.
     const View Before = Self->CurrentView;
     if (!holdsRecords(Before, Folder))
@@ -575,7 +589,7 @@
   while (State->Answered < State->Asked)
     co_await pause(Io, StopPollInterval / 10);
   const Duration Late = steadyNow() - Until;
-  if (Late > StopPollInterval) {
+  if (Late > MaxAnswerDelay) {
     // The others may have gone since they answered.
     LogLine("ledger.stood_still")
         .with("discarded", "answers of other ledgers about a retirement")
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -166,6 +166,9 @@
 
   // LedgerMembership.cpp: joining and leaving the quorum.
   Task<void> manageMembership();
+  /// Reads the view from the store and adopts it if it is newer. Returns false
+  /// if the store failed.
+  Task<bool> readNewestView();
   /// Tries to become a member of the view.
   Task<void> joinView();
   /// Fetches the records of other members, then marks this member as joined.
