Ask the next source once the link to one is lost

What callers saw: a ledger retires and another one is lost while the standby ledger fetches from it: no turn for three seconds, the timeout of a call, though two other holders were there.

Cause: sources were asked strictly one after the other. The next one is asked side by side once the link to one is lost or is not opened in time.

ALedger/ThatFetchesAsksTheNextSourceOnceALinkIsLost is red before (joined more than 1.5 s after the link was lost).

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -47,6 +47,10 @@
 constexpr Duration LinkEndTimeout = std::chrono::milliseconds(500);
 /// The same as a part of the time that prepareStop() may wait.
 constexpr int LinkEndDivisor = 2;
+/// How long a source has for the opening of its link, and how often the link of
+/// a source is looked at. The next one is asked once it is lost.
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
+constexpr Duration LinkCheckInterval = std::chrono::milliseconds(50);
 /// Turns fetched in one call: about 0.2 MB of text, which a shared link of
 /// 60 Mbit/s transfers well within CallTimeout. Several calls are in flight at
 /// a time because each of them waits in the queue of a busy source.
@@ -286,33 +290,57 @@
     FetchedFrom.clear();
   }
   const std::size_t Needed = requiredSources(Of, Options.DurableCopies);
-  std::size_t Complete = 0;
   // A holder that is down would take the whole timeout of a call.
   std::vector<RecordHolder> Sources = otherHolders(Of);
   std::stable_partition(Sources.begin(), Sources.end(),
                         [this](const RecordHolder &Holder) {
                           return linkTo(Holder.Address)->isConnected();
                         });
+  const auto Work = std::make_shared<SourceFetches>(Io);
+  for (const RecordHolder &Source : Sources)
+    if (FetchedFrom.count(Source.Folder) > 0)
+      Work->Fetched.insert(Source.Folder);
   for (const RecordHolder &Source : Sources) {
-    if (Complete == Needed || CurrentView.Number != Of.Number)
+    if (Work->Fetched.size() >= Needed || CurrentView.Number != Of.Number)
       break;
-    bool Fetched = FetchedFrom.count(Source.Folder) > 0;
-    if (!Fetched) {
-      RecordSource From{Source.Address, Source.Folder};
-      Fetched = co_await fetchFromMember(std::move(From), Of);
-    }
-    if (Fetched) {
-      FetchedFrom.insert(Source.Folder);
-      ++Complete;
+    if (Work->Fetched.count(Source.Folder) > 0)
+      continue;
+    RecordSource From{Source.Address, Source.Folder};
+    Work->Running.insert(Source.Folder);
+    spawn(Io, fetchFromSource(std::move(From), Of, Work));
+    const TimePoint ConnectedBy = steadyNow() + ConnectTimeout;
+    while (
+        Work->Running.count(Source.Folder) > 0 &&
+        (linkTo(Source.Address)->isConnected() || steadyNow() < ConnectedBy)) {
+      co_await Work->Changed.wait(steadyNow() + LinkCheckInterval);
     }
   }
-  if (Complete < Needed)
+  // Those whose links are lost may come back.
+  while (Work->Fetched.size() < Needed && !Work->Running.empty() &&
+         CurrentView.Number == Of.Number) {
+    co_await Work->Changed.wait(steadyNow() + RetryInterval);
+  }
+  FetchedFrom.insert(Work->Fetched.begin(), Work->Fetched.end());
+  const bool IsComplete = Work->Fetched.size() >= Needed;
+  if (!IsComplete)
     LogLine("ledger.fetch_incomplete")
         .with("view", Of.Number)
-        .with("fetched", Complete)
+        .with("fetched", Work->Fetched.size())
         .with("needed", Needed)
         .with("holders", Sources.size());
-  co_return Complete == Needed &&CurrentView.Number == Of.Number;
+  co_return IsComplete &&CurrentView.Number == Of.Number;
+}
+
+Task<void>
+LedgerNode::Impl::fetchFromSource(RecordSource Source, View Of,
+                                  std::shared_ptr<SourceFetches> Work) {
+  const auto Self = shared_from_this();
+  const FolderId Folder = Source.Folder;
+  const bool Done = co_await fetchFromMember(std::move(Source), std::move(Of));
+  Work->Running.erase(Folder);
+  if (Done)
+    Work->Fetched.insert(Folder);
+  Work->Changed.raise();
 }
 
 Task<bool> LedgerNode::Impl::fetchFromMember(RecordSource Source, View Of) {
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -33,6 +33,15 @@
   FolderId Folder;
 };
 
+/// The sources that a ledger fetches from, some of them side by side.
+struct SourceFetches {
+  explicit SourceFetches(Loop &Io) : Changed(Io) {}
+  std::set<FolderId> Running;
+  /// Those whose records are all on disk.
+  std::set<FolderId> Fetched;
+  Signal Changed;
+};
+
 /// Returns nothing if the call \p Name of the ledger at \p From failed or its
 /// reply cannot be parsed, and logs the latter.
 template <typename T>
@@ -179,6 +188,9 @@
   /// Fetches the records of enough record holders of \p Of to have every stored
   /// record. Returns false if it failed or the view changed.
   Task<bool> fetchFromSources(View Of);
+  /// The same for one source, and notes in \p Work how it ended.
+  Task<void> fetchFromSource(RecordSource Source, View Of,
+                             std::shared_ptr<SourceFetches> Work);
   /// Fetches all records that \p Source has and this one lacks. Returns whether
   /// they are all on disk.
   Task<bool> fetchFromMember(RecordSource Source, View Of);
--- a/packages/quorum/test/LedgerFetchTest.cpp
+++ b/packages/quorum/test/LedgerFetchTest.cpp
@@ -61,6 +61,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a ledger that waits for the timeout of a call to a source that
+// is gone, while others that it may fetch from are there and no turn is served.
+BOOST_FIXTURE_TEST_CASE(ThatFetchesAsksTheNextSourceOnceALinkIsLost, Fixture) {
+  constexpr Duration JoinTimeout = 1500ms;
+  startAll();
+  useCurrentView();
+  BOOST_REQUIRE(
+      storeRecord({ProgramId("p"), name(0), {10, true}, nullptr, {}}));
+  // A ledger in place of member 2 that never lists its records.
+  stop(2);
+  const FolderId Folder = folderOf(2);
+  auto Silent = std::make_unique<LinkServer>(
+      Io, [&](const std::string &Call, const Json &,
+              const LinkServer::Reply &Answer) {
+        if (Call == calls::Ping)
+          Answer(Json(PingResponse{Folder, Views.Current.Number}));
+      });
+  BOOST_REQUIRE(Silent->listen(options(2, /*FirstStart=*/false).Address));
+  Views.Current = withMemberLeaving(Views.Current, folderOf(1));
+  tellView();
+  start(4);
+  until([&] { return !folderOf(4).empty(); });
+  Io.run_for(300ms);
+  BOOST_TEST(!Nodes[4]->status().IsJoined);
+  Silent->close();
+  const TimePoint LostAt = steadyNow();
+  until([&] { return Nodes[4]->status().IsJoined; });
+  BOOST_TEST((steadyNow() - LostAt < JoinTimeout));
+}
+
 BOOST_AUTO_TEST_SUITE(ThatIsAskedForTurns)
 
 // Guards against the memory that a reply with many long texts takes at both
