--- a/packages/turns/include/tamarack/turns/View.h
+++ b/packages/turns/include/tamarack/turns/View.h
@@ -9,12 +9,12 @@
 ///     ... compare-and-swap *Plan.Next ...
 ///
 /// Every change replaces or removes at most one joined member. Each place of a
-/// view but a *free* one has a *record holder*: the joined member, a member that
-/// is leaving, or, while a new member fetches, the predecessor that it replaces.
-/// With as many places that are not free, every acknowledged record is on all
-/// but `places - required copies` of the holders, so a ledger is marked as
-/// joined once it has fetched the records of one holder more than that. From
-/// then on these holders refuse older views.
+/// view but a *free* one has a *record holder*: the joined member, a member
+/// that is leaving, or, while a new member fetches, the predecessor that it
+/// replaces. With as many places that are not free, every acknowledged record
+/// is on all but `places - required copies` of the holders, so a ledger is
+/// marked as joined once it has fetched the records of one holder more than
+/// that. From then on these holders refuse older views.
 #ifndef TAMARACK_TURNS_VIEW_H
 #define TAMARACK_TURNS_VIEW_H
 
@@ -163,10 +163,11 @@
 
 /// Plans the next step of the record holder \p Folder, which retires. \p
 /// CaughtUp holds the folders of the members that have fetched all its records
-/// since it began to leave, \p Answering those of the members that have answered
-/// just now. It begins to leave, and leaves, only while enough others answer to
-/// store records without it. If fewer do meanwhile, it takes its place again:
-/// it was counted among the holders, so it lacks no more than they may.
+/// since it began to leave, \p Answering those of the members that have
+/// answered just now. It begins to leave, and leaves, only while enough others
+/// answer to store records without it. If fewer do meanwhile, it takes its
+/// place again: it was counted among the holders, so it lacks no more than they
+/// may.
 LeavePlan planLeave(const View &Current, const FolderId &Folder,
                     const std::set<FolderId> &CaughtUp,
                     const std::set<FolderId> &Answering,
@@ -176,8 +177,8 @@
 View withMemberJoined(const View &Current, const FolderId &Folder);
 /// Returns the successor of \p Current in which \p Folder is leaving.
 View withMemberLeaving(const View &Current, const FolderId &Folder);
-/// Returns the successor of \p Current in which \p Folder, which was leaving, is
-/// joined again.
+/// Returns the successor of \p Current in which \p Folder, which was leaving,
+/// is joined again.
 View withMemberStaying(const View &Current, const FolderId &Folder);
 /// Returns the successor of \p Current without the member \p Folder.
 View withoutMember(const View &Current, const FolderId &Folder);
