Do not wait for a member that is lost while a ledger leaves

One that was lost meanwhile kept the leaving ledger from finding out that too few others are left, and from being joined again.

They are asked side by side now and get as long as for a ping; they answer at once whether they have caught up.

Retires/NotOnceAMemberIsLostThatWasAskedToCatchUp is red before (not joined again within 1.5 s of the loss).

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -629,22 +629,31 @@
 
 Task<void> LedgerNode::Impl::askMembersToCatchUp(View Remaining,
                                                  std::set<FolderId> Answering) {
-  const Json Body{{"view", Remaining},
-                  {"from", publicAddress()},
-                  {"folder", Log->folderId()}};
+  const LinkBody Body = encodeBody(Json{{"view", Remaining},
+                                        {"from", publicAddress()},
+                                        {"folder", Log->folderId()}});
+  const auto Pending = std::make_shared<std::size_t>(0);
+  // A member answers at once whether it has caught up. One that does not may be
+  // lost, which is to be found out before long.
+  const TimePoint Until = steadyNow() + StopPingTimeout;
   for (const ViewMember &Other : Remaining.Members) {
-    // One that is down would take the whole timeout of a call.
     if (!Other.Joined || Answering.count(Other.Folder) == 0 ||
         CaughtUpMembers.count(Other.Folder) > 0)
       continue;
-    const Expected<Json> Done =
-        co_await callLink(Io, linkTo(Other.Address), calls::CatchUp,
-                          encodeBody(Body), steadyNow() + CallTimeout);
-    const auto Reply =
-        parseReply<AdoptResponse>(Done, calls::CatchUp, Other.Address);
-    if (Reply && Reply->Refusal == LedgerRefusal::None)
-      CaughtUpMembers.insert(Other.Folder);
+    ++*Pending;
+    linkTo(Other.Address)
+        ->call(calls::CatchUp, Body, Until,
+               [Self = shared_from_this(), Pending,
+                Other](const Expected<Json> &Answer) {
+                 --*Pending;
+                 const auto Reply = parseReply<AdoptResponse>(
+                     Answer, calls::CatchUp, Other.Address);
+                 if (Reply && Reply->Refusal == LedgerRefusal::None)
+                   Self->CaughtUpMembers.insert(Other.Folder);
+               });
   }
+  while (*Pending > 0)
+    co_await pause(Io, StopPollInterval / 10);
 }
 
 } // namespace tamarack
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -658,6 +658,32 @@
   BOOST_TEST(chain("b") == "in a, out a; in b, out b; ");
 }
 
+/// Guards against a ledger that waits for a member which was lost while it was
+/// asked to catch up, and accepts no records meanwhile.
+BOOST_FIXTURE_TEST_CASE(NotOnceAMemberIsLostThatWasAskedToCatchUp,
+                        QuorumFixture) {
+  constexpr Duration StayTimeout = 1500ms;
+  startAll();
+  stop(2);
+  // In place of member 2, a ledger that does not answer how far it is.
+  const FolderId Folder = folderOf(2);
+  auto Silent = std::make_unique<LinkServer>(
+      Io, [&](const std::string &Call, const Json &,
+              const LinkServer::Reply &Answer) {
+        if (Call == calls::Ping)
+          Answer(Json(PingResponse{Folder, Views.Current.Number}));
+      });
+  BOOST_REQUIRE(Silent->listen(options(2, /*FirstStart=*/false).Address));
+  asio::co_spawn(Io, Nodes[1]->retire(),
+                 [](const std::exception_ptr &, bool) {});
+  until([&] { return !Nodes[1]->status().IsJoined; });
+  Io.run_for(200ms);
+  Silent->close();
+  const TimePoint LostAt = steadyNow();
+  until([&] { return Nodes[1]->status().IsJoined; });
+  BOOST_TEST((steadyNow() - LostAt < StayTimeout));
+}
+
 /// A call that is answered only after the records were fetched looks like a
 /// silent connection, is sent again, and begins the fetch anew.
 BOOST_FIXTURE_TEST_CASE(AfterMembersThatAnswerAtOnceWhetherTheyCaughtUp,
