Name the time limit of pings between members after what it is for

It bounds the questions of a ledger that leaves too, not only of one that stops. The header of views says in one sentence how many holders a record is on.

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -37,11 +37,11 @@
 constexpr Duration CatchUpPollInterval = std::chrono::milliseconds(100);
 /// How long a ledger that is about to stop or to leave waits for the answers of
 /// the others, which may be in another region, and how often it asks them.
-constexpr Duration StopPingTimeout = std::chrono::milliseconds(400);
-constexpr Duration StopPollInterval = std::chrono::milliseconds(50);
+constexpr Duration MemberPingTimeout = std::chrono::milliseconds(400);
+constexpr Duration MemberPollInterval = std::chrono::milliseconds(50);
 /// How much later than that the answers may be used. A link reports a missing
 /// answer some 100 ms late, and a busy process stands still for as long.
-constexpr Duration MaxAnswerDelay = StopPingTimeout / 2;
+constexpr Duration MaxAnswerDelay = MemberPingTimeout / 2;
 /// How long the links of a ledger that leaves may take to end: a process may
 /// stand still for 300 ms, and the way to another region and back takes 80 ms.
 constexpr Duration LinkEndTimeout = std::chrono::milliseconds(500);
@@ -518,7 +518,7 @@
       std::min(LinkEndTimeout, (Deadline - steadyNow()) / LinkEndDivisor);
   bool Dispensable = co_await Self->isDispensable();
   while (!Dispensable && steadyNow() < Deadline) {
-    co_await pause(Self->Io, StopPollInterval);
+    co_await pause(Self->Io, MemberPollInterval);
     Dispensable = co_await Self->isDispensable();
   }
   Self->StopPrepared = true;
@@ -562,7 +562,7 @@
     co_return true;
   const auto State = std::make_shared<StopInquiry>();
   Inquiry = State;
-  const TimePoint Until = steadyNow() + StopPingTimeout;
+  const TimePoint Until = steadyNow() + MemberPingTimeout;
   for (const ViewMember &Other : Of.Members) {
     if (!Other.Joined || Other.Folder == Own)
       continue;
@@ -580,13 +580,13 @@
             });
   }
   while (State->othersLeft() < Needed && State->Answered < State->Asked)
-    co_await pause(Io, StopPollInterval / 10);
+    co_await pause(Io, MemberPollInterval / 10);
   const TimePoint Now = steadyNow();
   if (Now >= Until && State->othersLeft() >= Needed) {
     // The others may have gone since they answered.
     LogLine("ledger.stood_still")
         .with("discarded", "answers of other ledgers about a stop")
-        .with("took_ms", Now - Until + StopPingTimeout);
+        .with("took_ms", Now - Until + MemberPingTimeout);
     co_return false;
   }
   co_return State->othersLeft() >= Needed;
@@ -600,7 +600,7 @@
     std::set<FolderId> Serving;
   };
   const auto State = std::make_shared<PingState>();
-  const TimePoint Until = steadyNow() + StopPingTimeout;
+  const TimePoint Until = steadyNow() + MemberPingTimeout;
   for (const ViewMember &Other : Of.Members) {
     if (!Other.Joined || Other.Folder == Log->folderId())
       continue;
@@ -615,13 +615,13 @@
                });
   }
   while (State->Answered < State->Asked)
-    co_await pause(Io, StopPollInterval / 10);
+    co_await pause(Io, MemberPollInterval / 10);
   const Duration Late = steadyNow() - Until;
   if (Late > MaxAnswerDelay) {
     // The others may have gone since they answered.
     LogLine("ledger.stood_still")
         .with("discarded", "answers of other ledgers about a retirement")
-        .with("took_ms", Late + StopPingTimeout);
+        .with("took_ms", Late + MemberPingTimeout);
     co_return std::nullopt;
   }
   co_return State->Serving;
@@ -635,7 +635,7 @@
   const auto Pending = std::make_shared<std::size_t>(0);
   // A member answers at once whether it has caught up. One that does not may be
   // lost, which is to be found out before long.
-  const TimePoint Until = steadyNow() + StopPingTimeout;
+  const TimePoint Until = steadyNow() + MemberPingTimeout;
   for (const ViewMember &Other : Remaining.Members) {
     if (!Other.Joined || Answering.count(Other.Folder) == 0 ||
         CaughtUpMembers.count(Other.Folder) > 0)
@@ -653,7 +653,7 @@
                });
   }
   while (*Pending > 0)
-    co_await pause(Io, StopPollInterval / 10);
+    co_await pause(Io, MemberPollInterval / 10);
 }
 
 } // namespace tamarack
--- a/packages/turns/include/tamarack/turns/View.h
+++ b/packages/turns/include/tamarack/turns/View.h
@@ -11,10 +11,10 @@
 /// Every change replaces or removes at most one joined member. Each place of a
 /// view but a *free* one has a *record holder*: the joined member, a member
 /// that is leaving, or, while a new member fetches, the predecessor that it
-/// replaces. With as many places that are not free, every acknowledged record
-/// is on all but `places - required copies` of the holders, so a ledger is
-/// marked as joined once it has fetched the records of one holder more than
-/// that. From then on these holders refuse older views.
+/// replaces. Every acknowledged record is on all but `places - copies` of the
+/// holders, free places not counted, so a ledger is marked as joined once it
+/// has fetched the records of one holder more than that. From then on these
+/// holders refuse older views.
 #ifndef TAMARACK_TURNS_VIEW_H
 #define TAMARACK_TURNS_VIEW_H
 
