--- a/packages/turns/test/ViewModel.cpp
+++ b/packages/turns/test/ViewModel.cpp
@@ -781,7 +781,7 @@
     if (Index == 0)
       return "";
     const std::uint32_t Parent = Nodes[Index].Parent;
-    const std::string Before = history(Parent);
+    std::string Before = history(Parent);
     const ModelState State = decode(*Keys[Parent], Of.ledgerCount());
     for (const Successor &Next : Of.successors(State))
       if (encode(Next.State) == *Keys[Index])
