Share the silent stand-in of a member between two tests

Two cases started the same stand-in, which answers pings and nothing else, line by line. startSilentLedger() serves both; their checks are as they were.

--- a/packages/quorum/test/LedgerFetchTest.cpp
+++ b/packages/quorum/test/LedgerFetchTest.cpp
@@ -1,4 +1,4 @@
-#include "QuorumFixture.h"
+#include "SilentLedger.h"
 
 using namespace tamarack;
 using namespace tamarack::testing;
@@ -71,14 +71,7 @@
       storeRecord({ProgramId("p"), name(0), {10, true}, nullptr, {}}));
   // A ledger in place of member 2 that never lists its records.
   stop(2);
-  const FolderId Folder = folderOf(2);
-  auto Silent = std::make_unique<LinkServer>(
-      Io, [&](const std::string &Call, const Json &,
-              const LinkServer::Reply &Answer) {
-        if (Call == calls::Ping)
-          Answer(Json(PingResponse{Folder, Views.Current.Number}));
-      });
-  BOOST_REQUIRE(Silent->listen(options(2, /*FirstStart=*/false).Address));
+  const auto Silent = startSilentLedger(*this, 2);
   Views.Current = withMemberLeaving(Views.Current, folderOf(1));
   tellView();
   start(4);
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -1,4 +1,4 @@
-#include "QuorumFixture.h"
+#include "SilentLedger.h"
 
 using namespace tamarack;
 using namespace tamarack::testing;
@@ -666,14 +666,7 @@
   startAll();
   stop(2);
   // In place of member 2, a ledger that does not answer how far it is.
-  const FolderId Folder = folderOf(2);
-  auto Silent = std::make_unique<LinkServer>(
-      Io, [&](const std::string &Call, const Json &,
-              const LinkServer::Reply &Answer) {
-        if (Call == calls::Ping)
-          Answer(Json(PingResponse{Folder, Views.Current.Number}));
-      });
-  BOOST_REQUIRE(Silent->listen(options(2, /*FirstStart=*/false).Address));
+  const auto Silent = startSilentLedger(*this, 2);
   asio::co_spawn(Io, Nodes[1]->retire(),
                  [](const std::exception_ptr &, bool) {});
   until([&] { return !Nodes[1]->status().IsJoined; });
