--- a/packages/quorum/src/LedgerCalls.cpp
+++ b/packages/quorum/src/LedgerCalls.cpp
@@ -172,6 +172,9 @@
         Result.Outcomes[Endpoint] = Result.Outcomes[Endpoint] + Counts;
       for (const auto &[Endpoint, Rate] : News.Rates)
         Result.Rates[Endpoint] = Result.Rates[Endpoint] + Rate;
+      for (const auto &[Name, Use] : News.Workspaces)
+        Result.Workspaces[Name] = Result.Workspaces[Name] + Use;
+      Result.Entries.insert(News.Entries.begin(), News.Entries.end());
     }
     ++It;
   }
--- a/packages/relay/include/tamarack/relay/Catalog.h
+++ b/packages/relay/include/tamarack/relay/Catalog.h
@@ -53,6 +53,8 @@
   Duration Retention{0};
   /// Whether a broken stream may be resumed after its last event.
   bool Resumable = false;
+  /// Whether callers need no key, although there are workspaces.
+  bool IsPublic = false;
 
   friend bool operator==(const Route &, const Route &) = default;
 };
@@ -68,6 +70,21 @@
   friend bool operator==(const ServiceInfo &, const ServiceInfo &) = default;
 };
 
+/// A workspace, whose callers present one of its keys.
+struct Workspace {
+  WorkspaceId Name;
+  /// Secret: written to no log, metric, record or message.
+  std::vector<std::string> Keys;
+  /// Scheduling priority, which precedes that of routes; 0 is the highest.
+  std::uint32_t Rank = 0;
+  /// Requests per second over all entries; zero if they are not limited.
+  double RequestsPerSecond = 0;
+  /// Requests beyond that rate which may come at once.
+  double Burst = 0;
+
+  friend bool operator==(const Workspace &, const Workspace &) = default;
+};
+
 /// Limits on the connections and requests of callers.
 struct CallerLimits {
   std::size_t HeaderBytes = 16U << 10U;
@@ -86,6 +103,8 @@
   std::vector<Route> Routes;
   std::vector<ServiceInfo> Services;
   CallerLimits Limits;
+  /// Empty if the deployment has no workspaces, so that no key is needed.
+  std::optional<std::vector<Workspace>> Workspaces = {};
 
   friend bool operator==(const Catalog &, const Catalog &) = default;
 };
--- a/packages/relay/include/tamarack/relay/Dialect.h
+++ b/packages/relay/include/tamarack/relay/Dialect.h
@@ -31,6 +31,10 @@
   std::optional<TokenCount> Budget;
   /// The turn that this one continues.
   TurnId Previous;
+  /// The caller's key, which shows its workspace; empty if it has none. Secret.
+  std::string AccessKey;
+  /// The time until the caller's whole program should have ended.
+  std::optional<Duration> ProgramTimeLeft;
   /// The id of the last event that the caller received, if it resumes a
   /// stream.
   std::optional<std::string> LastEventId;
@@ -49,6 +53,16 @@
   return !Metadata.ResumedTurn.empty() || hasReceivedEvents(Metadata);
 }
 
+/// What the system itself tells an endpoint with an attempt.
+struct AttemptMetadata {
+  EndpointId Endpoint;
+  /// The time until the request's deadline.
+  Duration TimeLeft{0};
+  /// The caller's workspace, empty on a public route. Not set if the deployment
+  /// has no workspaces; what the caller sent is passed on then.
+  std::optional<WorkspaceId> Workspace = {};
+};
+
 /// The metadata of an endpoint's response.
 struct ResponseMetadata {
   /// The request that the response belongs to; empty if it names none.
@@ -74,11 +88,10 @@
   virtual RequestMetadata
   readRequestMetadata(const HttpFields &Fields) const = 0;
   virtual ResponseMetadata readResponseMetadata(const HttpHead &Head) const = 0;
-  /// Turns the fields of a caller's request into those of an attempt at
-  /// \p Endpoint: removes the fields that only the system may set and adds the
-  /// system's own. \p TimeLeft is the time until the request's deadline.
-  virtual void prepareAttempt(HttpFields &Fields, const EndpointId &Endpoint,
-                              Duration TimeLeft) const = 0;
+  /// Turns the fields of a caller's request into those of an attempt: removes
+  /// the fields that only the system may set and adds the system's own.
+  virtual void prepareAttempt(HttpFields &Fields,
+                              const AttemptMetadata &Attempt) const = 0;
 };
 
 } // namespace tamarack
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -74,8 +74,9 @@
   const HttpRequest &From = Context.Caller.request();
   HttpRequest Head{From.Method, From.Target, From.Fields, {}};
   removeHopByHop(Head.Fields);
-  Wire.prepareAttempt(Head.Fields, To.Endpoint,
-                      std::max(Duration(0), Context.Deadline - steadyNow()));
+  Wire.prepareAttempt(
+      Head.Fields,
+      {To.Endpoint, std::max(Duration(0), Context.Deadline - steadyNow())});
   if (!Context.Body.empty() || From.Method != "GET")
     Head.Fields.add("Content-Length", std::to_string(Context.Body.size()));
   std::string Result = encodeRequest(Head);
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -59,6 +59,9 @@
   RequestMetadata Metadata;
   Route MatchedRoute;
   ServiceId Service;
+  /// The workspace of the caller's key. Not set if the deployment has no
+  /// workspaces; empty on a public route.
+  std::optional<WorkspaceId> Workspace;
   /// The earliest of the caller's deadline, the route's timeout and the time at
   /// which a stopping process answers.
   TimePoint Deadline;
--- a/packages/relay/test/RelayFixture.h
+++ b/packages/relay/test/RelayFixture.h
@@ -44,14 +44,14 @@
                 ? std::optional(std::stod(text(Head.Fields, "Rate-Limit")))
                 : std::nullopt};
   }
-  void prepareAttempt(HttpFields &Fields, const EndpointId &Endpoint,
-                      Duration TimeLeft) const override {
-    Fields.set("To", Endpoint.text());
+  void prepareAttempt(HttpFields &Fields,
+                      const AttemptMetadata &Attempt) const override {
+    Fields.set("To", Attempt.Endpoint.text());
     Fields.set(
         "Left-Ms",
-        std::to_string(
-            std::chrono::duration_cast<std::chrono::milliseconds>(TimeLeft)
-                .count()));
+        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           Attempt.TimeLeft)
+                           .count()));
   }
 
 private:
--- a/packages/turns/include/tamarack/turns/Messages.h
+++ b/packages/turns/include/tamarack/turns/Messages.h
@@ -98,6 +98,40 @@
 
 using RatesByEndpoint = std::map<EndpointId, EndpointRate>;
 
+/// What entries sent lately for a workspace whose requests are limited.
+struct WorkspaceUse {
+  /// The requests that were sent to endpoints.
+  std::uint32_t Sent = 0;
+  /// Those of them that were first turns of programs.
+  std::uint32_t FirstTurns = 0;
+  /// The requests that callers asked for, refused ones included.
+  std::uint32_t Demand = 0;
+
+  friend WorkspaceUse operator+(const WorkspaceUse &Left,
+                                const WorkspaceUse &Right) {
+    return {Left.Sent + Right.Sent, Left.FirstTurns + Right.FirstTurns,
+            Left.Demand + Right.Demand};
+  }
+  friend bool operator==(const WorkspaceUse &, const WorkspaceUse &) = default;
+};
+
+using UseByWorkspace = std::map<WorkspaceId, WorkspaceUse>;
+
+/// How well one entry can take further requests.
+struct EntryLoad {
+  /// How late its event loop runs what is due.
+  Duration Behind{0};
+  DataCentreId DataCentre;
+  /// Whether it reaches enough ledgers to serve turns.
+  bool ReachesLedgers = true;
+  /// Whether it counts as ready, so that it gets new connections.
+  bool IsReady = true;
+
+  friend bool operator==(const EntryLoad &, const EntryLoad &) = default;
+};
+
+using LoadByEntry = std::map<InstanceId, EntryLoad>;
+
 /// How long the news of other processes are valid. Busy entries report every
 /// 40 ms.
 inline constexpr Duration EndpointNewsLifetime = std::chrono::seconds(1);
@@ -109,6 +143,10 @@
   RatesByEndpoint Rates;
   /// The requests in flight under which endpoints crashed before.
   InFlightByEndpoint Suspects = {};
+  /// Of all regions, unlike the rest.
+  UseByWorkspace Workspaces = {};
+  /// The loads of the entries themselves.
+  LoadByEntry Entries = {};
 
   friend bool operator==(const EndpointNews &, const EndpointNews &) = default;
 };
