Give requests the workspace of their key

For a configuration that lists workspaces: the key of a request is looked up in an index that is built once for each configuration, endpoints get the name of the workspace and never the key, and public routes need none. A request without a known key is refused (401) only on a configuration that is confirmed to be current, by the path that unknown routes take; a revoked key is refused with the next request of its connection. With strict_revocation, keys are refused as not run while the configuration is older than revoke_ms, also right before an endpoint gets the request.

Turns, programs and origins of streams are kept under ids that begin with the name of their workspace. No encoding changes; records without a workspace are continued by whoever names them.

--- a/packages/relay/include/tamarack/relay/Relay.h
+++ b/packages/relay/include/tamarack/relay/Relay.h
@@ -43,6 +43,10 @@
   /// Tries to confirm the configuration, or to get the newest one, until the
   /// deadline. May be called any number of times at once.
   std::function<Task<void>(TimePoint Deadline)> Confirm;
+  /// The age at which keys of workspaces may have been revoked, so that they
+  /// are accepted no more. If it is not set, the last configuration counts
+  /// whatever its age is.
+  std::optional<Duration> MaxKeyAge = {};
 };
 
 struct RelayOptions {
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -74,9 +74,10 @@
   const HttpRequest &From = Context.Caller.request();
   HttpRequest Head{From.Method, From.Target, From.Fields, {}};
   removeHopByHop(Head.Fields);
-  Wire.prepareAttempt(
-      Head.Fields,
-      {To.Endpoint, std::max(Duration(0), Context.Deadline - steadyNow())});
+  Wire.prepareAttempt(Head.Fields,
+                      {To.Endpoint,
+                       std::max(Duration(0), Context.Deadline - steadyNow()),
+                       Context.Workspace});
   if (!Context.Body.empty() || From.Method != "GET")
     Head.Fields.add("Content-Length", std::to_string(Context.Body.size()));
   std::string Result = encodeRequest(Head);
@@ -114,6 +115,13 @@
     }
     if (Context.isCancelled() || isSendingOver())
       co_return nullptr;
+    if (mayBeRevoked(Context)) {
+      LogLine("entry.key_outdated")
+          .with("request", Context.Metadata.RequestId)
+          .with("workspace", *Context.Workspace)
+          .with("catalog_age_ms", formatMillis(catalogAge()));
+      co_return nullptr;
+    }
     if (isDecisionOutdated(Context)) {
       LogLine("entry.decision_outdated")
           .with("request", Context.Metadata.RequestId)
--- a/packages/relay/src/Origins.cpp
+++ b/packages/relay/src/Origins.cpp
@@ -38,9 +38,11 @@
   // A stream without a program is a program of its own, with the id of the
   // request that began it.
   const TurnId Resumed = resumedTurn(Metadata);
-  const ProgramId Own(Resumed.empty() ? Metadata.RequestId : Resumed.text());
-  return {Metadata.Program.empty() ? Own : Metadata.Program,
-          TurnId(Metadata.RequestId),
+  const std::string &Own =
+      Resumed.empty() ? Metadata.RequestId : Resumed.text();
+  return {Context.programNamed(
+              Metadata.Program.empty() ? Own : Metadata.Program.text()),
+          Context.turn(),
           {Metadata.Budget ? Metadata.MaxTurnTokens : 0, false},
           nullptr,
           {},
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -83,8 +83,12 @@
       .with("version", Next.Version)
       .with("before", Inner->ActiveCatalog.Version)
       .with("routes", Next.Routes.size())
-      .with("services", Next.Services.size());
+      .with("services", Next.Services.size())
+      .with("workspaces", Next.Workspaces ? Next.Workspaces->size() : 0);
   Inner->ActiveCatalog = std::move(Next);
+  Inner->Workspaces = Inner->ActiveCatalog.Workspaces
+                          ? WorkspaceDirectory(*Inner->ActiveCatalog.Workspaces)
+                          : WorkspaceDirectory();
 }
 
 void Relay::setEndpoints(std::vector<EndpointEntry> Entries) {
@@ -141,6 +145,9 @@
                  "no route matches the host and path of the request",
                  NotRun::Proved,
                  {}};
+  Context.MatchedRoute = *Found;
+  if (std::optional<Error> Failure = authorize(Context))
+    return Failure;
   if (Context.Metadata.RequestId.empty())
     return Error{ErrorKind::MalformedRequest,
                  "the request has no request id",
@@ -151,7 +158,6 @@
                  "an id of the request is too long",
                  NotRun::Proved,
                  {}};
-  Context.MatchedRoute = *Found;
   const std::string &Key = Context.Metadata.Program.empty()
                                ? Context.Metadata.RequestId
                                : Context.Metadata.Program.text();
@@ -167,26 +173,63 @@
   return refusalAfterCrashes(Context);
 }
 
+std::optional<Error> Relay::Impl::authorize(RequestContext &Context) const {
+  Context.Workspace.reset();
+  if (!ActiveCatalog.Workspaces)
+    return std::nullopt;
+  if (Context.MatchedRoute.IsPublic) {
+    Context.Workspace = WorkspaceId();
+    return std::nullopt;
+  }
+  const Workspace *Owner = Workspaces.findByKey(Context.Metadata.AccessKey);
+  if (Owner == nullptr)
+    return Error{ErrorKind::Unauthorized,
+                 "the request has no key of a workspace",
+                 NotRun::Proved,
+                 {}};
+  Context.Workspace = Owner->Name;
+  if (mayBeRevoked(Context))
+    return Error{ErrorKind::PlatformUnavailable,
+                 "the configuration is too old to accept keys",
+                 NotRun::Proved,
+                 {}};
+  return std::nullopt;
+}
+
+bool Relay::Impl::mayBeRevoked(const RequestContext &Context) const {
+  const bool HasKey = Context.Workspace && !Context.Workspace->empty();
+  if (!HasKey || !Configuration.MaxKeyAge)
+    return false;
+  const std::optional<Duration> Age = catalogAge();
+  return !Age || *Age > *Configuration.MaxKeyAge;
+}
+
 std::optional<Duration> Relay::Impl::catalogAge() const {
   return Configuration.Age ? Configuration.Age() : Duration(0);
 }
 
 Task<std::optional<Error>>
 Relay::Impl::prepareConfirmed(RequestContext &Context) {
-  const auto LacksCurrentRoute = [this](const std::optional<Error> &Failure) {
+  const auto IsInDoubt = [this](const std::optional<Error> &Failure) {
     const std::optional<Duration> Age = catalogAge();
-    return Failure && Failure->Kind == ErrorKind::UnknownService &&
+    return Failure &&
+           (Failure->Kind == ErrorKind::UnknownService ||
+            Failure->Kind == ErrorKind::Unauthorized) &&
            (!Age || *Age > Configuration.MaxAge);
   };
   std::optional<Error> Failure = prepare(Context);
-  if (!LacksCurrentRoute(Failure))
+  if (!IsInDoubt(Failure) && !mayBeRevoked(Context))
     co_return Failure;
   const TimePoint Deadline = waitLimit(TimePoint::max(), StoreConfirmTimeout);
   co_await confirmCatalog(Deadline);
   Failure = prepare(Context);
-  if (LacksCurrentRoute(Failure))
+  if (IsInDoubt(Failure))
     Failure = Error{ErrorKind::PlatformUnavailable,
-                    "the configuration may be outdated and has no such route",
+                    Failure->Kind == ErrorKind::Unauthorized
+                        ? "the configuration may be outdated and has no such "
+                          "key"
+                        : "the configuration may be outdated and has no such "
+                          "route",
                     NotRun::Proved,
                     {}};
   co_return Failure;
@@ -303,6 +346,7 @@
       .with("route", Context.MatchedRoute.Name)
       .with("catalog", ActiveCatalog.Version)
       .with("catalog_age_ms", formatMillis(catalogAge()))
+      .with("workspace", Context.Workspace.value_or(WorkspaceId()))
       .with("program", Context.Metadata.Program)
       .with("kind", Mapping.Name)
       .with("status", Mapping.HttpStatus)
@@ -353,6 +397,7 @@
   LogLine("entry.answer")
       .with("request", Context.Metadata.RequestId)
       .with("route", Context.MatchedRoute.Name)
+      .with("workspace", Context.Workspace.value_or(WorkspaceId()))
       .with("endpoint", From)
       .with("status", Response.Head.Status)
       .with("tried", Context.TriedEndpoints.size())
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -7,6 +7,7 @@
 #include "tamarack/relay/EventStream.h"
 #include "tamarack/relay/Relay.h"
 #include "tamarack/relay/Resumption.h"
+#include "tamarack/relay/WorkspaceDirectory.h"
 
 #include <algorithm>
 #include <optional>
@@ -62,6 +63,9 @@
   /// The workspace of the caller's key. Not set if the deployment has no
   /// workspaces; empty on a public route.
   std::optional<WorkspaceId> Workspace;
+  /// The turn that this one continues, as the ledgers know it; set once its
+  /// chain was read.
+  TurnId Previous;
   /// The earliest of the caller's deadline, the route's timeout and the time at
   /// which a stopping process answers.
   TimePoint Deadline;
@@ -128,6 +132,16 @@
   bool isCancelled() const {
     return CallerDisconnected || Expired || isGivenUp();
   }
+  /// The turn that the caller calls \p Id, as the ledgers know it.
+  TurnId turnNamed(const std::string &Id) const {
+    return TurnId(scopedId(Workspace, Id));
+  }
+  /// The turn that the request is.
+  TurnId turn() const { return turnNamed(Metadata.RequestId); }
+  /// The program that the caller calls \p Id, as the ledgers know it.
+  ProgramId programNamed(const std::string &Id) const {
+    return ProgramId(scopedId(Workspace, Id));
+  }
   void abortCall() {
     if (CurrentCall)
       CurrentCall->abort();
@@ -173,6 +187,13 @@
   std::string FailureReason;
 };
 
+/// A turn and all turns before it.
+struct TurnHistory {
+  TurnChain Turns;
+  /// Whether they were in the cache of this entry.
+  bool IsCached = false;
+};
+
 /// The outcome of an attempt to stream from one endpoint.
 enum class StreamOutcome {
   /// All events were forwarded.
@@ -225,6 +246,8 @@
   ChainCache Chains;
   const std::shared_ptr<MemoryAccount> Memory;
   Catalog ActiveCatalog;
+  /// Of ActiveCatalog.
+  WorkspaceDirectory Workspaces;
   const CatalogSource Configuration;
   const std::function<Task<void>(TimePoint)> ListEndpoints;
   /// The minimum time between two listings, which differs between entries.
@@ -259,8 +282,13 @@
   /// Decodes the request and sets its route, service and deadline. Returns why
   /// the request is refused, if it is.
   std::optional<Error> prepare(internal::RequestContext &Context);
-  /// Does the same, but does not refuse a request for want of a route before
-  /// the configuration is confirmed to be current.
+  /// Finds the workspace of the request. Returns why the request is refused, if
+  /// it is.
+  std::optional<Error> authorize(internal::RequestContext &Context) const;
+  /// Whether the configuration is too old to accept the keys that it lists.
+  bool mayBeRevoked(const internal::RequestContext &Context) const;
+  /// Does the same as prepare(), but does not refuse a request for want of a
+  /// route or a key before the configuration is confirmed to be current.
   Task<std::optional<Error>>
   prepareConfirmed(internal::RequestContext &Context);
   /// Cancels the request at its deadline, which is capped if the process stops.
@@ -405,6 +433,9 @@
   /// Reserves the maximum tokens of the turn at the ledgers. Returns why the
   /// turn is refused, if it is.
   Task<std::optional<Error>> reserve(internal::RequestContext &Context);
+  /// Reads \p Last and all turns before it.
+  Task<Expected<internal::TurnHistory>>
+  readHistory(internal::RequestContext &Context, TurnId Last);
   /// Prepends the text of the previous turns to the body.
   Task<std::optional<Error>> prependChain(internal::RequestContext &Context);
   /// Settles the turn at \p Tokens, in the background.
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -10,6 +10,7 @@
 using internal::RequestContext;
 using internal::StreamOutcome;
 using internal::StreamState;
+using internal::TurnHistory;
 
 namespace {
 
@@ -64,11 +65,14 @@
       Ledgers.storeRecordInBackground({openRecord(Context), {}});
     co_return std::nullopt;
   }
-  const TurnId Turn(Context.Metadata.RequestId);
+  const TurnId Turn = Context.turn();
   const TimePoint SentAt = steadyNow();
   TurnUpdate Reservation{openRecord(Context), {}};
-  if (Resumes)
-    Reservation.ResumedTurn = resumedTurn(Context.Metadata);
+  if (Resumes) {
+    const TurnId Named = resumedTurn(Context.Metadata);
+    Reservation.ResumedTurn =
+        Named.empty() ? Named : Context.turnNamed(Named.text());
+  }
   auto Reserving = Ledgers.storeRecord(
       std::move(Reservation), waitLimit(Context.Deadline, LedgerTimeout),
       StoreEffort::UntilCutOff);
@@ -105,22 +109,37 @@
   co_return std::nullopt;
 }
 
+Task<Expected<TurnHistory>> Relay::Impl::readHistory(RequestContext &Context,
+                                                     TurnId Last) {
+  TurnHistory Result{Chains.chain(Last), true};
+  if (!Result.Turns.empty())
+    co_return Result;
+  auto Reading =
+      Ledgers.chain(Last, waitLimit(Context.Deadline, LedgerTimeout));
+  Expected<TurnChain> Stored =
+      co_await waitUntil(Stop.SendBy, std::move(Reading));
+  if (!Stored)
+    co_return tl::unexpected(Stored.error());
+  for (const auto &Turn : *Stored)
+    Chains.add(Turn);
+  co_return TurnHistory{std::move(*Stored), false};
+}
+
 Task<std::optional<Error>> Relay::Impl::prependChain(RequestContext &Context) {
   if (!Context.MatchedRoute.RetainsTurns || Context.Metadata.Previous.empty())
     co_return std::nullopt;
-  TurnChain Chain = Chains.chain(Context.Metadata.Previous);
-  const bool Cached = !Chain.empty();
-  if (!Cached) {
-    auto Reading = Ledgers.chain(Context.Metadata.Previous,
-                                 waitLimit(Context.Deadline, LedgerTimeout));
-    Expected<TurnChain> Stored =
-        co_await waitUntil(Stop.SendBy, std::move(Reading));
-    if (!Stored)
-      co_return notRunError(Stored.error().Kind, Stored.error().Message);
-    Chain = std::move(*Stored);
-    for (const auto &Turn : Chain)
-      Chains.add(Turn);
+  const TurnId Named = Context.Metadata.Previous;
+  Context.Previous = Context.turnNamed(Named.text());
+  Expected<TurnHistory> Read = co_await readHistory(Context, Context.Previous);
+  const bool IsUnknown =
+      !Read && Read.error().Kind == ErrorKind::UnknownProgram;
+  if (IsUnknown && Context.Workspace && mayBeUnscoped(Named.text())) {
+    Context.Previous = Named;
+    Read = co_await readHistory(Context, Named);
   }
+  if (!Read)
+    co_return notRunError(Read.error().Kind, Read.error().Message);
+  const TurnChain &Chain = Read->Turns;
   std::size_t ChainBytes = 0;
   for (const auto &Turn : Chain)
     ChainBytes += textBytes(*Turn);
@@ -137,7 +156,7 @@
       .with("previous", Context.Metadata.Previous)
       .with("turns", Chain.size())
       .with("bytes", ChainBytes)
-      .with("cached", Cached ? 1 : 0);
+      .with("cached", Read->IsCached ? 1 : 0);
   History += Context.Body;
   Context.Body = std::move(History);
   co_return std::nullopt;
@@ -145,12 +164,13 @@
 
 void Relay::Impl::settle(const RequestContext &Context, TokenCount Tokens) {
   if (Context.Metadata.Budget)
-    Ledgers.storeRecordInBackground({{Context.Metadata.Program,
-                                      TurnId(Context.Metadata.RequestId),
-                                      {Tokens, true},
-                                      nullptr,
-                                      {}},
-                                     Context.CurrentEndpoint});
+    Ledgers.storeRecordInBackground(
+        {{Context.programNamed(Context.Metadata.Program.text()),
+          Context.turn(),
+          {Tokens, true},
+          nullptr,
+          {}},
+         Context.CurrentEndpoint});
 }
 
 TokenCount Relay::Impl::generatedTokens(const RequestContext &Context,
@@ -399,14 +419,15 @@
 
 Task<bool> Relay::Impl::finishTurn(RequestContext &Context,
                                    StreamState &State) {
-  const TurnId Turn(Context.Metadata.RequestId);
+  const TurnId Turn = Context.turn();
   const TokenCount Tokens = generatedTokens(Context, State);
   if (storesTurn(Context)) {
     const auto FinishedTurn = std::make_shared<const StoredTurn>(
-        StoredTurn{Turn, Context.Metadata.Previous, std::move(Context.Body),
+        StoredTurn{Turn, Context.Previous, std::move(Context.Body),
                    std::move(State.Output), Context.MatchedRoute.Retention});
     const TimePoint SentAt = steadyNow();
-    TurnUpdate Settlement{{Context.Metadata.Program,
+    const std::string &Program = Context.Metadata.Program.text();
+    TurnUpdate Settlement{{Context.programNamed(Program),
                            Turn,
                            {Tokens, true},
                            FinishedTurn,
@@ -426,6 +447,7 @@
   LogLine("entry.answer")
       .with("request", Context.Metadata.RequestId)
       .with("route", Context.MatchedRoute.Name)
+      .with("workspace", Context.Workspace.value_or(WorkspaceId()))
       .with("program", Context.Metadata.Program)
       .with("status", 200)
       .with("events", State.Events)
--- a/packages/relay/test/RelayFixture.h
+++ b/packages/relay/test/RelayFixture.h
@@ -32,6 +32,7 @@
     Result.ResumedTurn = TurnId(text(Fields, "Continues"));
     if (Fields.has("Last-Event"))
       Result.LastEventId = text(Fields, "Last-Event");
+    Result.AccessKey = text(Fields, "Key");
     return Result;
   }
   ResponseMetadata readResponseMetadata(const HttpHead &Head) const override {
@@ -47,6 +48,10 @@
   void prepareAttempt(HttpFields &Fields,
                       const AttemptMetadata &Attempt) const override {
     Fields.set("To", Attempt.Endpoint.text());
+    if (Attempt.Workspace) {
+      Fields.erase("Key");
+      Fields.set("Workspace", Attempt.Workspace->text());
+    }
     Fields.set(
         "Left-Ms",
         std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
