Refuse responses with a status that no response may have

An endpoint in trouble answered with status 000, and callers of other systems got it as an answer. The parser takes any three digits: everything below 200 but 101 was skipped as an interim response, and everything from 600 was forwarded.

Before this change the new suite AnswersWithAnInvalidStatus showed: 600, 700 and 999 were forwarded with that status and the endpoint's signature; after 000, 001 and 099 the bytes that followed were taken for the answer, so that a response in their body was forwarded as a 200 (DoNotHideAnAnswerInTheirBody, DoNotPrecedeAnAnswer), and without such bytes the request waited for its deadline (504); a statement that the request was not run was believed with 101 and from 600, and the request sent again. Statuses such as 1000, 2xx, +200, -1 or none were refused already.

HttpCall now skips 100 to 199 except 101, and fails unless the final status is from 200 to 599, so that no field of such a response is believed. The suite and InterimResponses pass.

--- a/packages/net/include/tamarack/net/HttpCall.h
+++ b/packages/net/include/tamarack/net/HttpCall.h
@@ -113,7 +113,8 @@
   /// written, and the call is over.
   bool send(std::string Text, bool HeadOnly = false);
   /// Reads the status and fields of the response, and skips interim responses
-  /// before it. Fails with EndpointFailed.
+  /// before it. Fails with EndpointFailed, also if the status is not from 200
+  /// to 599.
   Task<Expected<HttpHead>> readHead();
   /// Discards the rest of the current response, which belongs to an earlier
   /// request, so that the next readHead() reads the response after it. Fails
--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -35,7 +35,13 @@
 
 /// Whether the response to the request is still to come. After 101, which
 /// nothing asks for, the connection speaks another protocol.
-bool isInterim(unsigned Status) { return Status < 200 && Status != 101; }
+bool isInterim(unsigned Status) {
+  return Status >= 100 && Status < 200 && Status != 101;
+}
+
+/// Whether the status may end an exchange (RFC 9110, section 15). The parser
+/// takes any three digits.
+bool isFinal(unsigned Status) { return Status >= 200 && Status < 600; }
 
 /// Whether the server has neither closed the connection nor sent bytes on it.
 bool isIdle(HttpConnection &Connection) {
@@ -284,6 +290,11 @@
     Self->restartReader();
   }
   const auto &Message = Self->Reader->get();
+  if (!isFinal(Message.result_int())) {
+    Self->Failed = true;
+    co_return refuse(ErrorKind::EndpointFailed,
+                     "the status of the response is invalid");
+  }
   if (internal::countFields(Message) > internal::MaxFields) {
     Self->Failed = true;
     co_return refuse(ErrorKind::EndpointFailed,
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -219,7 +219,7 @@
 
 bool Relay::Impl::isForwardable(const HttpHead &Head) const {
   const ResponseMetadata Metadata = Wire.readResponseMetadata(Head);
-  return Metadata.IsSigned && !Metadata.IsEncoded && Head.Status >= 200;
+  return Metadata.IsSigned && !Metadata.IsEncoded;
 }
 
 bool Relay::Impl::isRefusal(const HttpHead &Head) const {
@@ -236,9 +236,8 @@
                                                   const HttpHead &Head) {
   const bool Refused = isRefusal(Head);
   if (!Refused && !isForwardable(Head))
-    co_return refuse(
-        ErrorKind::EndpointFailed,
-        "the response is interim, encoded or not signed by the endpoint");
+    co_return refuse(ErrorKind::EndpointFailed,
+                     "the response is encoded or not signed by the endpoint");
   std::string Body;
   while (true) {
     Expected<std::optional<std::string>> Piece = co_await Call.readPiece();
--- a/packages/relay/test/TruncatedAnswersTest.cpp
+++ b/packages/relay/test/TruncatedAnswersTest.cpp
@@ -328,6 +328,96 @@
   checkIsNotAnswered(Response);
   // Long before the deadline of 2 s.
   BOOST_TEST((steadyNow() - SentAt < Duration(1s)));
+  Response.Endless = "HTTP/1.1 100 Continue\r\n\r\n";
+  checkIsNotAnswered(Response);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+/// Guards against a status that no response may have (RFC 9110, section 15) and
+/// that callers get as an answer, and against the body of such a response that
+/// is taken for the answer.
+BOOST_FIXTURE_TEST_SUITE(AnswersWithAnInvalidStatus, AnswerFixture)
+
+const std::vector<std::string> InvalidStatuses = {
+    "000 OK", "001 OK",  "099 OK", "101 OK",  "600 OK",  "700 OK",
+    "999 OK", "0 OK",    "20 OK",  "1000 OK", "2000 OK", "2xx OK",
+    "OK",     "+200 OK", "-1 OK",  "+20 OK",  "-20 OK",  " 200 OK",
+    "  OK",   "",        "2 0 OK", "0x0 OK",  "20\t OK", "200.0 OK"};
+
+BOOST_AUTO_TEST_CASE(AreNoAnswer) {
+  for (const std::string &Status : InvalidStatuses) {
+    BOOST_TEST_CONTEXT("status " << Status) {
+      const TimePoint SentAt = steadyNow();
+      checkIsNotAnswered({signedResponse("done", "", Status)});
+      checkIsNotAnswered({signedResponse("", "", Status)});
+      checkIsNotAnswered(
+          closing("HTTP/1.1 " + Status + "\r\n" + SignedFields + "\r\ndone"));
+      // Long before the deadlines of 2 s.
+      BOOST_TEST((steadyNow() - SentAt < Duration(1s)));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AreNoAnswerOnStreamingRoutes) {
+  for (const std::string &Status : InvalidStatuses)
+    for (const std::string &Fields :
+         {std::string(), std::string("Content-Type: text/event-stream\r\n")}) {
+      setResponses({{signedResponse("id: 1\ndata: d1\n\n", Fields, Status)}});
+      const RawResponse Answer = send("POST", "/turn/x");
+      BOOST_TEST(Answer.Status == 502, "status " << Status);
+      BOOST_TEST(Answer.IsComplete);
+      BOOST_TEST(!Answer.hasField("Signed"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(DoNotHideAnAnswerInTheirBody) {
+  for (const std::string &Status : InvalidStatuses)
+    checkIsNotAnswered({signedResponse(signedResponse("inner"), "", Status)});
+}
+
+BOOST_AUTO_TEST_CASE(DoNotPrecedeAnAnswer) {
+  for (const std::string &Status : InvalidStatuses)
+    checkIsNotAnswered(
+        {"HTTP/1.1 " + Status + "\r\n\r\n" + signedResponse("done")});
+}
+
+BOOST_AUTO_TEST_CASE(ProveNothingAboutTheRequest) {
+  for (const std::string &Status : InvalidStatuses) {
+    setResponses({{signedResponse("", "Not-Run: 1\r\n", Status)}});
+    for (const char *Target : {"/once/x", "/turn/x"}) {
+      const std::size_t SentBefore = requestCount();
+      const RawResponse Answer = send("POST", Target);
+      BOOST_TEST(Answer.Status == 502, Target << " status " << Status);
+      BOOST_TEST(requestCount() - SentBefore == 1U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AreRepeatedElsewhereIfTheRequestMayBe) {
+  for (const char *Status : {"000 OK", "600 OK", "2xx OK"}) {
+    setResponses({{signedResponse("done")}});
+    // The endpoint that is chosen first differs with the id.
+    const std::string Request = encodeNext("POST", "/safe/x");
+    for (std::size_t Faulty : {0U, 1U}) {
+      Endpoints[Faulty]->Responses = {{signedResponse("", "", Status)}};
+      RawCaller Caller(Io, EntryAddress);
+      const RawResponse Answer = await(Caller.send(Request));
+      BOOST_TEST(Answer.Status == 200);
+      BOOST_TEST(Answer.Body == "done");
+      Endpoints[Faulty]->Responses = {{signedResponse("done")}};
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AreNotMistakenForOtherValidOnes) {
+  for (const int Status : {200, 226, 299, 399, 400, 451, 499, 500, 599}) {
+    setResponses({{signedResponse("done", "", std::to_string(Status) + " X")}});
+    const RawResponse Answer = send("POST", "/once/x");
+    BOOST_TEST(Answer.Status == Status);
+    BOOST_TEST(Answer.Body == "done");
+    BOOST_TEST(Answer.hasField("Signed: s\r\n"));
+  }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
