Decide on limits of workspaces over all entries

The limit of a workspace binds what all entries send together. Each entry decides by its own counts and the sum of the others' reports, which ledgers keep: freely while the limit bears what may not be reported yet, by its share of the room near the limit, and with first turns behind programs under way. SlidingCount and the share of demand are common to it and to the limits of endpoints, whose behaviour is as before.

The load news lose their use of workspaces, which no release has sent: a report of its own goes to ledgers of all regions, and its sum is kept up to date with each report, so that an exchange costs no more with many entries.

Not wired yet. A fleet of 60 entries in WorkspaceLimitsTest: nothing refused below nine tenths of a limit, and the bound held at 1.5, 3 and 7 times the usual.

--- a/packages/quorum/src/LedgerCalls.cpp
+++ b/packages/quorum/src/LedgerCalls.cpp
@@ -60,6 +60,8 @@
     const auto Request = Body.get<CrashRequest>();
     Crashes.merge(Request.Observed, steadyNow());
     Answer(Json(Crashes.newsAfter(Request.After, steadyNow())));
+  } else if (Name == calls::Workspaces) {
+    Answer(Json(Workspaces.exchange(Body.get<WorkspaceReport>(), steadyNow())));
   } else if (Name == calls::Adopt) {
     const View Next = Body.get<View>();
     adopt(Next, [this, Next, Answer](const Expected<FrameLocation> &Done) {
@@ -172,8 +174,6 @@
         Result.Outcomes[Endpoint] = Result.Outcomes[Endpoint] + Counts;
       for (const auto &[Endpoint, Rate] : News.Rates)
         Result.Rates[Endpoint] = Result.Rates[Endpoint] + Rate;
-      for (const auto &[Name, Use] : News.Workspaces)
-        Result.Workspaces[Name] = Result.Workspaces[Name] + Use;
       Result.Entries.insert(News.Entries.begin(), News.Entries.end());
     }
     ++It;
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -90,6 +90,7 @@
     TimePoint ReceivedAt;
   };
   std::map<InstanceId, ReceivedLoadReport> LoadReports;
+  WorkspaceReports Workspaces{steadyNow()};
   /// The endpoint that last ran a turn of each program; not stored on disk.
   std::unordered_map<std::string, EndpointId> RanAt;
   std::uint64_t RecordsStored = 0;
--- a/packages/relay/include/tamarack/relay/RateLimits.h
+++ b/packages/relay/include/tamarack/relay/RateLimits.h
@@ -19,9 +19,9 @@
 #define TAMARACK_RELAY_RATELIMITS_H
 
 #include "tamarack/base/Clock.h"
+#include "tamarack/relay/SlidingCount.h"
 #include "tamarack/turns/Messages.h"
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -29,24 +29,6 @@
 
 namespace tamarack {
 
-/// The number of events in the last period.
-class SlidingCount {
-public:
-  static constexpr Duration Period = std::chrono::seconds(4);
-
-  void add(TimePoint Now);
-  std::uint32_t count(TimePoint Now) const;
-
-private:
-  static constexpr std::int64_t Slots = 16;
-  static constexpr Duration SlotLength = Period / Slots;
-  static std::int64_t slotNumber(TimePoint Time);
-
-  std::array<std::uint32_t, Slots> Counts{};
-  /// The number of the slot in which the last event was.
-  std::int64_t LastSlot = 0;
-};
-
 struct RateQuery {
   EndpointId Endpoint;
   ServiceId Service;
@@ -66,6 +48,8 @@
   /// How long a limit is reported to other entries without another response. It
   /// holds longer here while no entry reports anything.
   static constexpr Duration StatementLifetime = std::chrono::seconds(10);
+  /// The time over which requests are counted.
+  static constexpr Duration Period = std::chrono::seconds(4);
 
   /// Records the limit that a response of \p Endpoint states, in requests per
   /// second; empty if it states none. Returns whether the limit has changed.
@@ -99,7 +83,7 @@
   };
   /// What was sent to one endpoint.
   struct EndpointUse {
-    SlidingCount Sent;
+    SlidingCount Sent{Period};
     /// The tokens at TokensAt; empty before a limit is known.
     std::optional<double> Tokens;
     TimePoint TokensAt;
--- a/packages/relay/src/RateLimits.cpp
+++ b/packages/relay/src/RateLimits.cpp
@@ -18,34 +18,11 @@
 
 double inPeriod(double PerSecond) {
   return PerSecond *
-         std::chrono::duration<double>(SlidingCount::Period).count();
+         std::chrono::duration<double>(RateLimits::Period).count();
 }
 
 } // namespace
 
-std::int64_t SlidingCount::slotNumber(TimePoint Time) {
-  return Time.time_since_epoch() / SlotLength;
-}
-
-void SlidingCount::add(TimePoint Now) {
-  const std::int64_t Slot = slotNumber(Now);
-  const std::int64_t Passed = std::min(Slot - LastSlot, Slots);
-  for (std::int64_t Back = 0; Back < Passed; ++Back)
-    Counts[static_cast<std::size_t>((Slot - Back) % Slots)] = 0;
-  LastSlot = std::max(LastSlot, Slot);
-  ++Counts[static_cast<std::size_t>(LastSlot % Slots)];
-}
-
-std::uint32_t SlidingCount::count(TimePoint Now) const {
-  std::uint32_t Result = 0;
-  const std::int64_t Oldest =
-      std::max(slotNumber(Now) - Slots, std::int64_t(0));
-  for (std::int64_t Slot = std::max(Oldest, LastSlot - Slots) + 1;
-       Slot <= LastSlot; ++Slot)
-    Result += Counts[static_cast<std::size_t>(Slot % Slots)];
-  return Result;
-}
-
 bool RateLimits::onStated(const EndpointId &Endpoint,
                           std::optional<double> PerSecond, TimePoint Now) {
   const std::optional<double> Before = statedLimit(Endpoint, Now);
@@ -94,7 +71,7 @@
     Use.TokensAt = Now;
   }
   Use.Sent.add(Now);
-  SentInAll[Query.Service].add(Now);
+  SentInAll.try_emplace(Query.Service, Period).first->second.add(Now);
 }
 
 bool RateLimits::isRemoteRecent(TimePoint Now) const {
@@ -116,11 +93,9 @@
   if (!RemoteAt)
     return UnknownShare;
   const auto Sent = SentInAll.find(Query.Service);
-  // The request in question counts as demand, too.
-  const double Own =
-      1 + (Sent == SentInAll.end() ? 0 : Sent->second.count(Now));
   const auto Others = Remote.find(Query.Endpoint);
-  return Own / (Own + (Others == Remote.end() ? 0 : Others->second.Demand));
+  return shareOfDemand(Sent == SentInAll.end() ? 0 : Sent->second.count(Now),
+                       Others == Remote.end() ? 0 : Others->second.Demand);
 }
 
 double RateLimits::tokens(const RateQuery &Query, double Limit,
--- a/packages/relay/test/RateLimitsTest.cpp
+++ b/packages/relay/test/RateLimitsTest.cpp
@@ -39,7 +39,7 @@
 BOOST_AUTO_TEST_SUITE(SlidingCountTest)
 
 BOOST_AUTO_TEST_CASE(CountsTheEventsOfTheLastPeriod) {
-  SlidingCount Events;
+  SlidingCount Events(4s);
   BOOST_TEST(Events.count(Start) == 0U);
   Events.add(Start);
   Events.add(Start + 1s);
@@ -51,13 +51,36 @@
 }
 
 BOOST_AUTO_TEST_CASE(ForgetsEarlierEventsAfterAPause) {
-  SlidingCount Events;
+  SlidingCount Events(4s);
   for (int Count = 0; Count < 5; ++Count)
     Events.add(Start);
   Events.add(Start + 1min);
   BOOST_TEST(Events.count(Start + 1min) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(TakesBackEventsThatStillCount) {
+  SlidingCount Events(4s);
+  Events.add(Start);
+  Events.add(Start + 3s);
+  Events.takeBack(Start);
+  BOOST_TEST(Events.count(Start + 3s) == 1U);
+  // Another one of that time is not there, and this one counts no more.
+  Events.takeBack(Start);
+  Events.add(Start + 10s);
+  Events.takeBack(Start + 3s);
+  BOOST_TEST(Events.count(Start + 10s) == 1U);
+}
+
+/// A limit over five seconds holds only if no event of them is left out.
+BOOST_AUTO_TEST_CASE(CoversTheWholePeriodIfAsked) {
+  for (Duration Shift = 0s; Shift < 400ms; Shift += 10ms) {
+    SlidingCount Events = SlidingCount::atLeast(5s);
+    Events.add(Start + Shift);
+    BOOST_TEST(Events.count(Start + Shift + 5s) == 1U);
+    BOOST_TEST(Events.count(Start + Shift + 5400ms) == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(RateLimitsTest, RateLimitsFixture)
--- a/packages/turns/include/tamarack/turns/Messages.h
+++ b/packages/turns/include/tamarack/turns/Messages.h
@@ -7,6 +7,7 @@
 
 #include "tamarack/turns/CrashRecords.h"
 #include "tamarack/turns/TurnStore.h"
+#include "tamarack/turns/WorkspaceReports.h"
 
 #include <algorithm>
 #include <map>
@@ -42,6 +43,8 @@
 /// CrashRequest to CrashNews: exchanges the requests under which endpoints
 /// crashed.
 inline constexpr const char *Crashes = "crashes";
+/// WorkspaceReport to WorkspaceNews: exchanges the use of limited workspaces.
+inline constexpr const char *Workspaces = "workspaces";
 } // namespace calls
 
 /// Why a ledger refused a request.
@@ -98,25 +101,6 @@
 
 using RatesByEndpoint = std::map<EndpointId, EndpointRate>;
 
-/// What entries sent lately for a workspace whose requests are limited.
-struct WorkspaceUse {
-  /// The requests that were sent to endpoints.
-  std::uint32_t Sent = 0;
-  /// Those of them that were first turns of programs.
-  std::uint32_t FirstTurns = 0;
-  /// The requests that callers asked for, refused ones included.
-  std::uint32_t Demand = 0;
-
-  friend WorkspaceUse operator+(const WorkspaceUse &Left,
-                                const WorkspaceUse &Right) {
-    return {Left.Sent + Right.Sent, Left.FirstTurns + Right.FirstTurns,
-            Left.Demand + Right.Demand};
-  }
-  friend bool operator==(const WorkspaceUse &, const WorkspaceUse &) = default;
-};
-
-using UseByWorkspace = std::map<WorkspaceId, WorkspaceUse>;
-
 /// How well one entry can take further requests.
 struct EntryLoad {
   /// How late its event loop runs what is due.
@@ -143,8 +127,6 @@
   RatesByEndpoint Rates;
   /// The requests in flight under which endpoints crashed before.
   InFlightByEndpoint Suspects = {};
-  /// Of all regions, unlike the rest.
-  UseByWorkspace Workspaces = {};
   /// The loads of the entries themselves.
   LoadByEntry Entries = {};
 
--- a/packages/turns/src/Messages.cpp
+++ b/packages/turns/src/Messages.cpp
@@ -79,17 +79,13 @@
   for (const auto &[Endpoint, Rate] : From.Rates)
     Rates[Endpoint.text()] =
         Json::array({valueOrNull(Rate.Limit), Rate.Sent, Rate.Demand});
-  Json Workspaces = Json::object();
-  for (const auto &[Name, Use] : From.Workspaces)
-    Workspaces[Name.text()] =
-        Json::array({Use.Sent, Use.FirstTurns, Use.Demand});
   Json Entries = Json::object();
   for (const auto &[Name, Load] : From.Entries)
     Entries[Name.text()] = Json::array(
         {Load.Behind, Load.DataCentre, Load.ReachesLedgers, Load.IsReady});
   Value = Json::array({encodeCounts(From.InFlight), std::move(Outcomes),
                        std::move(Rates), encodeCounts(From.Suspects),
-                       std::move(Workspaces), std::move(Entries)});
+                       std::move(Entries)});
 }
 
 void from_json(const Json &Value, EndpointNews &To) {
@@ -105,13 +101,9 @@
   // Processes of earlier releases do not send it.
   if (Value.size() > 3)
     To.Suspects = decodeCounts(Value.at(3));
-  if (Value.size() <= 5)
+  if (Value.size() <= 4)
     return;
-  for (const auto &[Name, Use] : Value.at(4).items())
-    To.Workspaces[WorkspaceId(Name)] = {Use.at(0).get<std::uint32_t>(),
-                                        Use.at(1).get<std::uint32_t>(),
-                                        Use.at(2).get<std::uint32_t>()};
-  for (const auto &[Name, Load] : Value.at(5).items())
+  for (const auto &[Name, Load] : Value.at(4).items())
     To.Entries[InstanceId(Name)] = {
         Load.at(0).get<Duration>(), Load.at(1).get<DataCentreId>(),
         Load.at(2).get<bool>(), Load.at(3).get<bool>()};
