Take no part of an answer that ends before its request as a whole one

An endpoint answered a long upload at once with a 200 without length, sent a part of the body and reset the connection while the upload was still being written. The pending write is served first and takes the error of the socket, so that the read after it sees a plain end of the connection, which ends such a body: the caller got the part as a complete answer. The same holds for an endpoint that closes with unread bytes, and for one that ends its sending side, whose reset comes after the end.

A body without a marked end is now complete only if the request was written whole and the server's kernel has acknowledged all of it when the connection ends.

--- a/packages/net/include/tamarack/net/HttpCall.h
+++ b/packages/net/include/tamarack/net/HttpCall.h
@@ -122,7 +122,8 @@
   /// the rest is longer than \p MaxBytes.
   Task<Expected<void>> skipAnswer(std::size_t MaxBytes);
   /// Returns the next bytes of the body, or std::nullopt at its end. Fails with
-  /// EndpointFailed if the connection ends before the body does.
+  /// EndpointFailed if the connection ends before the body does, also if it
+  /// ends instead of a marked end while the server lacks a part of the request.
   Task<Expected<std::optional<std::string>>> readPiece();
   /// Tells that the current response refuses the request \p RequestId. A faulty
   /// server may write it once more on this connection.
--- a/packages/net/src/HttpCall.cpp
+++ b/packages/net/src/HttpCall.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace tamarack {
@@ -223,6 +225,18 @@
                                  Failure == asio::error::connection_reset);
   }
 
+  /// Whether the server lacks a part of the request. If it ends the connection
+  /// then, it closes or resets it without having read the request, which the
+  /// end of the bytes to read need not show: a failed write takes the error of
+  /// the socket, and a reset may follow the end.
+  bool isRequestCut() {
+    int Unacknowledged = 0;
+    return !Written ||
+           ::ioctl(Connection->Socket.native_handle(), SIOCOUTQ,
+                   &Unacknowledged) != 0 ||
+           Unacknowledged > 0;
+  }
+
   void abort() {
     Aborted = true;
     ErrorCode Ignored; // The socket is closed even on error.
@@ -329,9 +343,11 @@
     if (Failure)
       co_return Self->readFailure(Failure);
   }
-  if (Body.empty())
-    co_return std::optional<std::string>();
-  co_return std::optional<std::string>(std::exchange(Body, {}));
+  if (!Body.empty())
+    co_return std::optional<std::string>(std::exchange(Body, {}));
+  if (Self->Reader->need_eof() && Self->isRequestCut())
+    co_return Self->readFailure(asio::error::connection_reset);
+  co_return std::optional<std::string>();
 }
 
 Task<Expected<void>> HttpCall::skipAnswer(std::size_t MaxBytes) {
--- a/packages/relay/test/RawCaller.h
+++ b/packages/relay/test/RawCaller.h
@@ -99,17 +99,10 @@
   /// Reads until the response is complete or the connection is closed.
   Task<RawResponse> send(std::string Text, bool HeadOnly = false) {
     RawResponse Result;
-    if (!Connection) {
-      const Expected<Tcp::endpoint> Peer = parseAddress(Address);
-      Expected<Tcp::socket> Opened =
-          co_await connectWithTimeout(Io, *Peer, std::chrono::seconds(1));
-      if (!Opened)
-        co_return Result;
-      Connection.emplace(std::move(*Opened));
-    }
+    co_await write(std::move(Text));
+    if (!Connection)
+      co_return Result;
     ErrorCode Failure;
-    co_await asio::async_write(*Connection, asio::buffer(Text),
-                               storeErrorIn(Failure));
     char Buffer[65536];
     while (!Result.IsComplete) {
       const std::size_t Count = co_await Connection->async_read_some(
@@ -123,6 +116,20 @@
     }
     co_return Result;
   }
+  /// Sends \p Text, which may be a part of a request, and reads nothing.
+  Task<void> write(std::string Text) {
+    if (!Connection) {
+      const Expected<Tcp::endpoint> Peer = parseAddress(Address);
+      Expected<Tcp::socket> Opened =
+          co_await connectWithTimeout(Io, *Peer, std::chrono::seconds(1));
+      if (!Opened)
+        co_return;
+      Connection.emplace(std::move(*Opened));
+    }
+    ErrorCode Failure;
+    co_await asio::async_write(*Connection, asio::buffer(Text),
+                               storeErrorIn(Failure));
+  }
   /// Sends a FIN and leaves the other direction open.
   void shutdownSend() {
     ErrorCode Ignored; // The server may have closed the connection.
--- a/packages/relay/test/RelayFixture.h
+++ b/packages/relay/test/RelayFixture.h
@@ -81,6 +81,11 @@
   std::vector<std::string> LaterSegments = {};
   /// The pause before each of them.
   Duration SegmentInterval = std::chrono::milliseconds(3);
+  /// Whether it is sent once the head of the request has arrived. The endpoint
+  /// reads no more of the request then.
+  bool IsEarly = false;
+  /// Whether the endpoint ends its sending side afterwards, and reads on.
+  bool EndsSending = false;
 };
 
 /// A complete response that is signed and names the request.
@@ -201,9 +206,14 @@
     std::string Text;
     char Buffer[65536];
     Socket.set_option(Tcp::no_delay(true));
+    // A small buffer, so that the request stays in the entry.
+    if (!Self.Responses.empty() && Self.Responses.front().IsEarly)
+      Socket.set_option(asio::socket_base::receive_buffer_size(8192));
     while (true) {
       ErrorCode Failure;
-      const std::size_t Length = requestLength(Text);
+      std::size_t Length = requestLength(Text);
+      if (!Self.Responses.empty() && Self.Responses.front().IsEarly)
+        Length = std::min(Length, Text.size());
       if (Length == 0 || Text.size() < Length) {
         const std::size_t Count = co_await Socket.async_read_some(
             asio::buffer(Buffer), storeErrorIn(Failure));
@@ -251,11 +261,24 @@
         Socket.close(Failure);
         co_return;
       }
+      if (Next.EndsSending) {
+        co_await endSending(Socket);
+        co_return;
+      }
       if (Next.CloseAfter || Next.Crash || !Next.Endless.empty())
         co_return;
     }
   }
 
+  static Task<void> endSending(Tcp::socket &Socket) {
+    ErrorCode Failure;
+    Socket.shutdown(Tcp::socket::shutdown_send, Failure);
+    char Buffer[65536];
+    while (!Failure)
+      co_await Socket.async_read_some(asio::buffer(Buffer),
+                                      storeErrorIn(Failure));
+  }
+
   static Task<void> sendWithoutEnd(ScriptedEndpoint &Self, Tcp::socket &Socket,
                                    const std::string &Text) {
     ErrorCode Failure;
