Send slow requests that may be repeated to a second endpoint

A few slow answers spoil the figures of services whose requests may be repeated.

Hedging decides without a network: a second attempt is due once the first has taken longer than 95% of the recent answers of its service and route, and is refused for ten reasons, among them the share of the last minute's requests, a service that is nearly full, endpoints that limit their rate, max_attempts, a suspected crash and a planned stop. SecondAttempts.cpp runs it beside the first one. The state of an attempt (call, memory of the response) moves from the request to the attempt, so an answer is never made of two. Every attempt still passes sendAttempt().

--- a/packages/relay/include/tamarack/relay/EndpointTable.h
+++ b/packages/relay/include/tamarack/relay/EndpointTable.h
@@ -44,6 +44,19 @@
   bool IsSuspect = false;
   /// The only version that may get the request; any if empty.
   std::optional<SoftwareVersion> Version = {};
+  /// Whether only endpoints of this region come into question that have a free
+  /// slot, work well and limit no rate.
+  bool SpareOnly = false;
+};
+
+/// What the endpoints of a service in this region run.
+struct ServiceLoad {
+  std::uint32_t Slots = 0;
+  std::uint32_t Running = 0;
+  /// Whether the reports of the other entries are recent.
+  bool IsKnown = false;
+
+  friend bool operator==(const ServiceLoad &, const ServiceLoad &) = default;
 };
 
 struct EndpointTableOptions {
@@ -123,6 +136,8 @@
   /// Whether the process of \p Entry is still listed, as ready and not as
   /// leaving, so that its end is not planned.
   bool isServing(const EndpointEntry &Entry) const;
+  /// What all entries of the region run at the usable endpoints of \p Service.
+  ServiceLoad loadOf(const ServiceId &Service, TimePoint Now) const;
   /// The requests that this entry runs at \p Endpoint.
   std::uint32_t runningAt(const EndpointId &Endpoint) const;
 
@@ -175,6 +190,11 @@
   /// for.
   bool isEligible(const EndpointStatus &Candidate,
                   const EndpointQuery &Query) const;
+  /// The requests that all entries of the region run at the endpoint.
+  std::uint32_t runningAtAll(const EndpointStatus &Candidate,
+                             TimePoint Now) const;
+  /// As EndpointQuery::SpareOnly, except for outliers.
+  bool isSpare(const EndpointStatus &Candidate, TimePoint Now) const;
   /// What a request that is no first turn counts as towards the rate limit.
   RateQuery rateQuery(const EndpointStatus &Candidate) const;
   /// Whether the rate limit of the endpoint admits a request like \p Query.
--- a/packages/relay/include/tamarack/relay/Relay.h
+++ b/packages/relay/include/tamarack/relay/Relay.h
@@ -47,6 +47,9 @@
 
 struct RelayOptions {
   EndpointTableOptions Endpoints;
+  /// The part of a service's requests that may get a second attempt at another
+  /// endpoint; none if it is 0. See Hedging.
+  double HedgingShare = 0;
   /// The memory limit of the cache of stored turns.
   std::size_t ChainCacheBytes = 16U << 20U;
   CatalogSource Configuration;
@@ -83,6 +86,8 @@
   EndpointNews endpointNews() const;
   /// Sets the sum of what all other entries of the region report.
   void setRemoteNews(const EndpointNews &News);
+  /// Sets RelayOptions::HedgingShare.
+  void setHedgingShare(double Share);
   /// Limits all running and later requests by the times of \p Plan, because
   /// the process is shutting down. Streams that still run when requests are
   /// answered are aborted.
--- a/packages/relay/include/tamarack/relay/RelayMetrics.h
+++ b/packages/relay/include/tamarack/relay/RelayMetrics.h
@@ -7,6 +7,7 @@
 
 #include "tamarack/base/Clock.h"
 #include "tamarack/base/Error.h"
+#include "tamarack/relay/Hedging.h"
 #include "tamarack/relay/Resumption.h"
 
 #include <memory>
@@ -32,6 +33,19 @@
 /// The label value of \p Reason.
 const char *nameOf(RelayRetryReason Reason);
 
+/// What came of a second attempt at another endpoint.
+enum class SecondAttemptOutcome {
+  /// The caller got its answer.
+  Won,
+  /// The caller got the answer of the first attempt.
+  Lost,
+  /// Neither attempt was answered.
+  Failed
+};
+
+/// The label value of \p Outcome.
+const char *nameOf(SecondAttemptOutcome Outcome);
+
 class RelayMetrics {
 public:
   RelayMetrics();
@@ -42,6 +56,11 @@
   void countAnswer(int Status, Duration Elapsed);
   void countRefusal(ErrorKind Kind);
   void countRetry(RelayRetryReason Reason);
+  /// Counts a request that asks for no stream.
+  void countSingleRequest();
+  void countSecondAttempt(SecondAttemptOutcome Outcome);
+  /// Counts a second attempt that was due and not sent.
+  void countSecondAttemptRefusal(HedgingRefusal Reason);
   void observeFirstEvent(Duration Elapsed);
   void countBrokenStream();
   void countDisconnectedCaller();
--- a/packages/relay/src/Attempts.cpp
+++ b/packages/relay/src/Attempts.cpp
@@ -4,6 +4,7 @@
 
 using internal::AttemptOutcome;
 using internal::AttemptResult;
+using internal::AttemptState;
 using internal::formatMillis;
 using internal::RequestContext;
 
@@ -96,7 +97,8 @@
 }
 
 Task<std::shared_ptr<HttpCall>>
-Relay::Impl::sendAttempt(RequestContext &Context, EndpointEntry To) {
+Relay::Impl::sendAttempt(RequestContext &Context, AttemptState &State,
+                         EndpointEntry To) {
   bool WasReused = true;
   while (WasReused) {
     const Expected<std::shared_ptr<HttpCall>> Call =
@@ -112,7 +114,7 @@
           .with("reason", Call.error().Message);
       co_return nullptr;
     }
-    if (Context.isCancelled() || isSendingOver())
+    if (State.IsSuperseded || Context.isCancelled() || isSendingOver())
       co_return nullptr;
     if (isDecisionOutdated(Context)) {
       LogLine("entry.decision_outdated")
@@ -126,7 +128,7 @@
     WasReused = (*Call)->reused();
     if ((*Call)->send(encodeAttempt(Context, To),
                       Context.Caller.request().Method == "HEAD")) {
-      Context.CurrentCall = *Call;
+      State.Call = *Call;
       ++Context.PossibleRuns;
       co_return *Call;
     }
@@ -226,12 +228,12 @@
   return Head.Status == 421 || Wire.readResponseMetadata(Head).NotRun;
 }
 
-bool Relay::Impl::isOwnFault(const RequestContext &Context) const {
-  return Context.LackedMemory &&
-         Context.ResponseMemory.size() <= Memory->limit() / FaultyShareDivisor;
+bool Relay::Impl::isOwnFault(const AttemptState &State) const {
+  return State.LackedMemory &&
+         State.ResponseMemory.size() <= Memory->limit() / FaultyShareDivisor;
 }
 
-Task<Expected<std::string>> Relay::Impl::readBody(RequestContext &Context,
+Task<Expected<std::string>> Relay::Impl::readBody(AttemptState &State,
                                                   HttpCall &Call,
                                                   const HttpHead &Head) {
   const bool Refused = isRefusal(Head);
@@ -246,9 +248,9 @@
       co_return tl::unexpected(Piece.error());
     if (!*Piece)
       co_return Body;
-    if (!appendWithin(Context.ResponseMemory, Body, **Piece, 0)) {
+    if (!appendWithin(State.ResponseMemory, Body, **Piece, 0)) {
       Call.abort();
-      Context.LackedMemory = true;
+      State.LackedMemory = true;
       co_return refuse(ErrorKind::Overloaded,
                        "too little memory is left for the response");
     }
@@ -276,8 +278,11 @@
 }
 
 Task<AttemptResult> Relay::Impl::attemptPlain(RequestContext &Context,
+                                              AttemptState &State,
                                               EndpointEntry To) {
-  const std::shared_ptr<HttpCall> Call = co_await sendAttempt(Context, To);
+  const bool IsFirst = &State == &Context.Current;
+  const std::shared_ptr<HttpCall> Call =
+      co_await sendAttempt(Context, State, To);
   if (!Call)
     co_return AttemptResult{
         AttemptOutcome::NotRun, {}, "could not connect to the endpoint"};
@@ -286,14 +291,18 @@
   const bool IsSuspect = Crashes.isSuspect(Context.Digest, SentAt);
   if (IsSuspect)
     Endpoints.onSuspectStarted(To.Endpoint);
+  if (IsFirst)
+    startHedgingTimer(Context, SentAt, To.Endpoint);
   Expected<HttpHead> Head =
       co_await readMatchingHead(Context, *Call, To.Endpoint);
-  Context.LackedMemory = !Head && Head.error().Kind == ErrorKind::Overloaded;
+  State.LackedMemory = !Head && Head.error().Kind == ErrorKind::Overloaded;
   Expected<std::string> Body =
       refuse(ErrorKind::EndpointFailed, "no response head was received");
   if (Head) {
-    Body = co_await readBody(Context, *Call, *Head);
+    Body = co_await readBody(State, *Call, *Head);
   }
+  if (IsFirst)
+    stopHedgingTimer(Context);
   Endpoints.onRequestEnded(To.Endpoint);
   if (IsSuspect)
     Endpoints.onSuspectEnded(To.Endpoint);
@@ -305,17 +314,25 @@
   if (!Head || !Body) {
     const Error Cause = !Head ? Head.error() : Body.error();
     Call->abort();
+    if (State.IsSuperseded) {
+      // That it was slower says nothing else about the endpoint.
+      if (IsFirst)
+        recordDuration(Context, SentAt);
+      State.ResponseMemory.shrinkTo(0);
+      co_return AttemptResult{
+          AttemptOutcome::Indeterminate, {}, "another attempt has answered"};
+    }
     if (Context.isCancelled()) {
       recordSilence(Context, To, SentAt, Head.has_value());
     } else {
-      if (!isOwnFault(Context))
+      if (!isOwnFault(State))
         Endpoints.onFailure(To.Endpoint, steadyNow());
       Metrics.countRetry(RelayRetryReason::Broken);
       if (Call->isEndedByServer()) {
         co_await recordBrokenAttempt(Context, To, SentAt);
       }
     }
-    Context.ResponseMemory.shrinkTo(0);
+    State.ResponseMemory.shrinkTo(0);
     LogLine("entry.broken_answer")
         .with("request", Context.Metadata.RequestId)
         .with("endpoint", To.Endpoint)
@@ -325,6 +342,8 @@
   }
   Call->finish();
   recordAnswer(To, Head->Status);
+  if (Head->Status < 500)
+    recordDuration(Context, SentAt);
   Crashes.onAnswered(Context.Digest, steadyNow());
   co_return AttemptResult{
       AttemptOutcome::Answered, {std::move(*Head), std::move(*Body)}, {}};
--- a/packages/relay/src/EndpointTable.cpp
+++ b/packages/relay/src/EndpointTable.cpp
@@ -214,8 +214,7 @@
                                       const EndpointQuery &Query,
                                       TimePoint Now) const {
   const EndpointEntry &Entry = Candidate.Entry;
-  const double Running =
-      Candidate.Running + remoteCount(RemoteNews.InFlight, Entry.Endpoint, Now);
+  const double Running = runningAtAll(Candidate, Now);
   const double Slots = std::max(1U, Entry.Slots);
   double Cost = Running * BatchDelayMs;
   if (!Query.Prompt.empty())
@@ -286,6 +285,31 @@
       std::chrono::duration<double>(1 / std::max(PerSecond, MinRate)));
 }
 
+std::uint32_t EndpointTable::runningAtAll(const EndpointStatus &Candidate,
+                                          TimePoint Now) const {
+  return Candidate.Running +
+         remoteCount(RemoteNews.InFlight, Candidate.Entry.Endpoint, Now);
+}
+
+bool EndpointTable::isSpare(const EndpointStatus &Candidate,
+                            TimePoint Now) const {
+  return distanceTo(Candidate) < 2 && Candidate.BackoffUntil <= Now &&
+         runningAtAll(Candidate, Now) < Candidate.Entry.Slots &&
+         !Rates.limitOf(Candidate.Entry.Endpoint, Now);
+}
+
+ServiceLoad EndpointTable::loadOf(const ServiceId &Service,
+                                  TimePoint Now) const {
+  ServiceLoad Result;
+  Result.IsKnown = Now - RemoteNewsAt <= EndpointNewsLifetime;
+  for (const auto &[Endpoint, Status] : Statuses)
+    if (isUsable(Status, Service) && distanceTo(Status) < 2) {
+      Result.Slots += Status.Entry.Slots;
+      Result.Running += runningAtAll(Status, Now);
+    }
+  return Result;
+}
+
 std::optional<EndpointEntry> EndpointTable::choose(const EndpointQuery &Query,
                                                    TimePoint Now) const {
   std::vector<const EndpointStatus *> Candidates;
@@ -305,6 +329,9 @@
   std::vector<Ranked> Order;
   for (const EndpointStatus *Candidate : Candidates) {
     const EndpointId &Endpoint = Candidate->Entry.Endpoint;
+    if (Query.SpareOnly &&
+        (!isSpare(*Candidate, Now) || Outliers.count(Candidate) > 0))
+      continue;
     if (Query.Exclude.count(Endpoint) == 0 &&
         isWithinRate(*Candidate, Query, Now))
       Order.push_back(
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -85,6 +85,7 @@
       .with("routes", Next.Routes.size())
       .with("services", Next.Services.size());
   Inner->ActiveCatalog = std::move(Next);
+  Inner->Hedges.retain(Inner->ActiveCatalog);
 }
 
 void Relay::setEndpoints(std::vector<EndpointEntry> Entries) {
@@ -106,6 +107,8 @@
 
 const Catalog &Relay::catalog() const { return Inner->ActiveCatalog; }
 
+void Relay::setHedgingShare(double Share) { Inner->Hedges.setShare(Share); }
+
 void Relay::stop(const StopPlan &Plan) {
   Inner->Stop = Plan;
   for (const auto &Context : Inner->Running)
@@ -242,7 +245,7 @@
   }
   Caller.onCallerDisconnect([Context] {
     Context->CallerDisconnected = true;
-    Context->abortCall();
+    Context->abortCalls();
   });
   Caller.onCallerEndOfSending([Context] {
     const TimePoint EndedAt = *Context->Caller.callerEndedSendingAt();
@@ -263,7 +266,8 @@
   Context->Ended = true;
   Caller.onCallerDisconnect(nullptr);
   Caller.onCallerEndOfSending(nullptr);
-  Context->CurrentCall.reset();
+  Context->Current.Call.reset();
+  Context->Second.reset();
 }
 
 void Relay::Impl::startDeadline(
@@ -277,7 +281,7 @@
     if (Cancelled)
       return;
     Context->Expired = true;
-    Context->abortCall();
+    Context->abortCalls();
   });
 }
 
@@ -292,7 +296,7 @@
       return;
     Self->GraceOver = true;
     if (Self->isGivenUp())
-      Self->abortCall();
+      Self->abortCalls();
   });
 }
 
@@ -365,13 +369,15 @@
 
 Task<void> Relay::Impl::servePlain(RequestContext &Context) {
   std::string FailureReason = "no endpoint is available";
+  Metrics.countSingleRequest();
+  Hedges.onRequest(Context.Service, steadyNow());
   while (!Context.isCancelled()) {
-    const std::optional<EndpointEntry> To = chooseNextEndpoint(Context);
+    std::optional<EndpointEntry> To = chooseNextEndpoint(Context);
     if (!To && Context.RateLimitDelay && Context.PossibleRuns == 0)
       FailureReason = RateLimitReason;
     if (!To)
       break;
-    AttemptResult Result = co_await attemptPlain(Context, *To);
+    AttemptResult Result = co_await attemptHedged(Context, *To);
     if (Result.Outcome == AttemptOutcome::Answered) {
       co_await forwardResponse(Context, To->Endpoint,
                                std::move(Result.Response));
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -5,6 +5,7 @@
 #include "tamarack/net/Log.h"
 #include "tamarack/relay/ChainCache.h"
 #include "tamarack/relay/EventStream.h"
+#include "tamarack/relay/Hedging.h"
 #include "tamarack/relay/Relay.h"
 #include "tamarack/relay/Resumption.h"
 
@@ -47,13 +48,77 @@
 inline constexpr const char *RateLimitReason =
     "all endpoints of the service are at their rate limits";
 
+/// The outcome of an attempt at one endpoint.
+enum class AttemptOutcome {
+  /// The complete response of the endpoint was received.
+  Answered,
+  /// The endpoint states that it did not run the request, or no byte was sent.
+  NotRun,
+  /// The endpoint may have run the request.
+  Indeterminate,
+};
+
+struct AttemptResult {
+  AttemptOutcome Outcome = AttemptOutcome::Indeterminate;
+  HttpResponse Response;
+  /// Why the attempt failed; empty if it was answered.
+  std::string FailureReason;
+};
+
+/// Whether the answer goes to the caller without a look at other attempts.
+inline bool isFinal(const AttemptResult &Result) {
+  return Result.Outcome == AttemptOutcome::Answered &&
+         Result.Response.Head.Status < 500;
+}
+
+/// The state of an attempt at one endpoint, beside which another may run.
+struct AttemptState {
+  explicit AttemptState(const std::shared_ptr<MemoryAccount> &Memory)
+      : ResponseMemory(Memory, MemoryUse::Responses) {}
+
+  /// The call in flight; aborted when the request is cancelled.
+  std::shared_ptr<HttpCall> Call;
+  /// What the response takes that is received, and what is kept of it.
+  MemoryShare ResponseMemory;
+  /// Whether there was too little memory for the response.
+  bool LackedMemory = false;
+  /// Whether another attempt has answered, so that this one is aborted.
+  bool IsSuperseded = false;
+
+  void abort() {
+    if (Call)
+      Call->abort();
+  }
+  void supersede() {
+    IsSuperseded = true;
+    abort();
+  }
+};
+
+/// A second attempt, which runs in a coroutine of its own.
+struct SecondAttempt {
+  SecondAttempt(Loop &Io, const std::shared_ptr<MemoryAccount> &Memory)
+      : State(Memory), RequestMemory(Memory, MemoryUse::Requests), Ended(Io) {}
+
+  AttemptState State;
+  EndpointId First;
+  EndpointEntry Endpoint;
+  /// The time between the two attempts.
+  Duration Delay{0};
+  /// What its copy of the request takes.
+  MemoryShare RequestMemory;
+  /// Set once the attempt has ended.
+  std::optional<AttemptResult> Result;
+  /// Raised when the attempt has ended or the request is cancelled.
+  Signal Ended;
+};
+
 /// The state of a request from its last byte to the end of its answer.
 struct RequestContext : std::enable_shared_from_this<RequestContext> {
   RequestContext(Loop &Io, HttpExchange &Caller,
                  const std::shared_ptr<MemoryAccount> &Memory)
       : Caller(Caller), DeadlineTimer(Io), GraceTimer(Io),
-        RequestMemory(Memory, MemoryUse::Requests),
-        ResponseMemory(Memory, MemoryUse::Responses) {}
+        RequestMemory(Memory, MemoryUse::Requests), Current(Memory) {}
 
   HttpExchange &Caller;
   RequestMetadata Metadata;
@@ -74,12 +139,8 @@
   std::string Body;
   /// What copies of the body and the chain before it take.
   MemoryShare RequestMemory;
-  /// What the response takes that is received, and what is kept of it.
-  MemoryShare ResponseMemory;
   /// The length of the input of a turn that is stored.
   std::size_t StoredInputBytes = 0;
-  /// Whether there was too little memory for the response to the last attempt.
-  bool LackedMemory = false;
   /// Of the request as the caller sent it.
   RequestDigest Digest;
   std::set<EndpointId> TriedEndpoints;
@@ -113,8 +174,15 @@
   bool GraceOver = false;
   /// Whether the handler has ended, so that Caller must not be used any more.
   bool Ended = false;
-  /// The call in flight; aborted when the request is cancelled.
-  std::shared_ptr<HttpCall> CurrentCall;
+  /// The attempt in flight, the first one if there are two.
+  AttemptState Current;
+  /// When the first attempt was sent; empty if it gets no second one beside it
+  /// or has ended.
+  std::optional<TimePoint> HedgedSince;
+  /// Ends when a second attempt is due.
+  std::optional<asio::steady_timer> HedgingTimer;
+  /// Null if there was none.
+  std::shared_ptr<SecondAttempt> Second;
 
   /// Whether the request is given up because its caller has probably closed the
   /// connection. A call that may have run and may not be repeated is not: its
@@ -128,9 +196,12 @@
   bool isCancelled() const {
     return CallerDisconnected || Expired || isGivenUp();
   }
-  void abortCall() {
-    if (CurrentCall)
-      CurrentCall->abort();
+  void abortCalls() {
+    Current.abort();
+    if (!Second)
+      return;
+    Second->State.abort();
+    Second->Ended.raise();
   }
 };
 
@@ -156,23 +227,6 @@
           {}};
 }
 
-/// The outcome of an attempt at one endpoint.
-enum class AttemptOutcome {
-  /// The complete response of the endpoint was received.
-  Answered,
-  /// The endpoint states that it did not run the request, or no byte was sent.
-  NotRun,
-  /// The endpoint may have run the request.
-  Indeterminate,
-};
-
-struct AttemptResult {
-  AttemptOutcome Outcome = AttemptOutcome::Indeterminate;
-  HttpResponse Response;
-  /// Why the attempt failed; empty if it was answered.
-  std::string FailureReason;
-};
-
 /// The outcome of an attempt to stream from one endpoint.
 enum class StreamOutcome {
   /// All events were forwarded.
@@ -203,8 +257,8 @@
   Impl(Loop &Io, RelayOptions Options, const Dialect &Wire,
        QuorumClient &Ledgers, ConnectionPool &Pool, RelayMetrics &Metrics)
       : Io(Io), Wire(Wire), Ledgers(Ledgers), Pool(Pool), Metrics(Metrics),
-        Endpoints(Options.Endpoints), Chains(Options.ChainCacheBytes),
-        Memory(std::move(Options.Memory)),
+        Endpoints(Options.Endpoints), Hedges(Options.HedgingShare),
+        Chains(Options.ChainCacheBytes), Memory(std::move(Options.Memory)),
         Configuration(std::move(Options.Configuration)),
         ListEndpoints(std::move(Options.ListEndpoints)), EndpointsListed(Io),
         Crashes(Options.Crashes, Options.ProcessId),
@@ -222,6 +276,7 @@
   ConnectionPool &Pool;
   RelayMetrics &Metrics;
   EndpointTable Endpoints;
+  Hedging Hedges;
   ChainCache Chains;
   const std::shared_ptr<MemoryAccount> Memory;
   Catalog ActiveCatalog;
@@ -345,21 +400,23 @@
   /// Opens a connection and sends the request. Returns null if no byte was
   /// sent.
   Task<std::shared_ptr<HttpCall>> sendAttempt(internal::RequestContext &Context,
+                                              internal::AttemptState &State,
                                               EndpointEntry To);
   /// Reads the head of the response to this request; skips responses to
   /// others.
   Task<Expected<HttpHead>> readMatchingHead(internal::RequestContext &Context,
                                             HttpCall &Call, EndpointId From);
   Task<internal::AttemptResult> attemptPlain(internal::RequestContext &Context,
+                                             internal::AttemptState &State,
                                              EndpointEntry To);
   /// Reads the body of a response that is forwardable or a refusal, of a
   /// refusal only the beginning. Fails at once for any other response, whose
   /// body may have no end.
-  Task<Expected<std::string>> readBody(internal::RequestContext &Context,
+  Task<Expected<std::string>> readBody(internal::AttemptState &State,
                                        HttpCall &Call, const HttpHead &Head);
-  /// Whether the last attempt failed because others had taken the memory, so
-  /// that it says nothing about the endpoint.
-  bool isOwnFault(const internal::RequestContext &Context) const;
+  /// Whether the attempt failed because others had taken the memory, so that it
+  /// says nothing about the endpoint.
+  bool isOwnFault(const internal::AttemptState &State) const;
   /// Whether the response states that the request was not run.
   bool isRefusal(const HttpHead &Head) const;
   /// Whether a response may be forwarded to the caller: it is signed by the
@@ -381,6 +438,24 @@
   void recordNotRun(internal::RequestContext &Context, const EndpointEntry &To,
                     const HttpHead &Head);
 
+  // SecondAttempts.cpp: attempts beside one that takes long.
+  /// Runs an attempt, and a second one beside it if it takes long. Returns the
+  /// result of the one that serves the caller, and makes \p To its endpoint.
+  Task<internal::AttemptResult> attemptHedged(internal::RequestContext &Context,
+                                              EndpointEntry &To);
+  /// Starts the timer after which a second attempt is due.
+  void startHedgingTimer(internal::RequestContext &Context, TimePoint SentAt,
+                         const EndpointId &First);
+  static void stopHedgingTimer(internal::RequestContext &Context);
+  void
+  startSecondAttempt(const std::shared_ptr<internal::RequestContext> &Context,
+                     const EndpointId &First);
+  Task<void> runSecondAttempt(std::shared_ptr<internal::RequestContext> Context,
+                              std::shared_ptr<internal::SecondAttempt> Second);
+  /// Records how long the attempt took, if others are compared with it.
+  void recordDuration(const internal::RequestContext &Context,
+                      TimePoint SentAt);
+
   // Crashes.cpp: requests that crash endpoints.
   /// Returns why a request is refused if too many endpoints crashed under it.
   std::optional<Error>
--- a/packages/relay/src/RelayMetrics.cpp
+++ b/packages/relay/src/RelayMetrics.cpp
@@ -41,13 +41,34 @@
   return "unknown";
 }
 
+const char *nameOf(SecondAttemptOutcome Outcome) {
+  switch (Outcome) {
+  case SecondAttemptOutcome::Won:
+    return "won";
+  case SecondAttemptOutcome::Lost:
+    return "lost";
+  case SecondAttemptOutcome::Failed:
+    return "failed";
+  }
+  return "unknown";
+}
+
 std::vector<std::string> relayMetricNames() {
-  return {"tamarack_answers_total",       "tamarack_refusals_total",
-          "tamarack_retries_total",       "tamarack_answer_seconds",
-          "tamarack_first_event_seconds", "tamarack_ledger_seconds",
-          "tamarack_store_age_seconds",   "tamarack_streams_broken_total",
-          "tamarack_callers_left_total",  "tamarack_endpoint_crashes_total",
-          "tamarack_resumptions_total",   "tamarack_state"};
+  return {"tamarack_answers_total",
+          "tamarack_refusals_total",
+          "tamarack_retries_total",
+          "tamarack_answer_seconds",
+          "tamarack_first_event_seconds",
+          "tamarack_ledger_seconds",
+          "tamarack_store_age_seconds",
+          "tamarack_streams_broken_total",
+          "tamarack_callers_left_total",
+          "tamarack_endpoint_crashes_total",
+          "tamarack_resumptions_total",
+          "tamarack_single_requests_total",
+          "tamarack_second_attempts_total",
+          "tamarack_second_attempts_refused_total",
+          "tamarack_state"};
 }
 
 struct RelayMetrics::Impl {
@@ -72,6 +93,16 @@
           .Name("tamarack_resumptions_total")
           .Help("Requests that resume a stream, by what was decided")
           .Register(Registry);
+  prometheus::Family<prometheus::Counter> &SecondAttempts =
+      prometheus::BuildCounter()
+          .Name("tamarack_second_attempts_total")
+          .Help("Second attempts beside a slow one, by what came of them")
+          .Register(Registry);
+  prometheus::Family<prometheus::Counter> &RefusedSecondAttempts =
+      prometheus::BuildCounter()
+          .Name("tamarack_second_attempts_refused_total")
+          .Help("Second attempts that were due and not sent, by reason")
+          .Register(Registry);
   prometheus::Family<prometheus::Gauge> &Gauges =
       prometheus::BuildGauge()
           .Name("tamarack_state")
@@ -92,6 +123,8 @@
   prometheus::Counter &BrokenStreams =
       counter("tamarack_streams_broken_total",
               "Streams that ended before their last event");
+  prometheus::Counter &SingleRequests = counter(
+      "tamarack_single_requests_total", "Requests that ask for no stream");
   prometheus::Counter &DisconnectedCallers = counter(
       "tamarack_callers_left_total", "Callers that left before their answer");
   prometheus::Counter &EndpointCrashes =
@@ -136,6 +169,16 @@
   Inner->Retries.Add({{"reason", nameOf(Reason)}}).Increment();
 }
 
+void RelayMetrics::countSingleRequest() { Inner->SingleRequests.Increment(); }
+
+void RelayMetrics::countSecondAttempt(SecondAttemptOutcome Outcome) {
+  Inner->SecondAttempts.Add({{"outcome", nameOf(Outcome)}}).Increment();
+}
+
+void RelayMetrics::countSecondAttemptRefusal(HedgingRefusal Reason) {
+  Inner->RefusedSecondAttempts.Add({{"reason", nameOf(Reason)}}).Increment();
+}
+
 void RelayMetrics::observeFirstEvent(Duration Elapsed) {
   Inner->FirstEventSeconds.Observe(seconds(Elapsed));
 }
--- a/packages/relay/src/Turns.cpp
+++ b/packages/relay/src/Turns.cpp
@@ -235,7 +235,8 @@
 Task<StreamOutcome> Relay::Impl::streamFromEndpoint(RequestContext &Context,
                                                     StreamState &State,
                                                     EndpointEntry To) {
-  const std::shared_ptr<HttpCall> Call = co_await sendAttempt(Context, To);
+  const std::shared_ptr<HttpCall> Call =
+      co_await sendAttempt(Context, Context.Current, To);
   if (!Call)
     co_return StreamOutcome::NotRun;
   const ServiceInfo *Info = findService(ActiveCatalog, Context.Service);
@@ -253,7 +254,8 @@
       co_await readMatchingHead(Context, *Call, To.Endpoint);
   const int Status = Head ? Head->Status : 0;
   StreamOutcome Outcome = StreamOutcome::Indeterminate;
-  Context.LackedMemory = !Head && Head.error().Kind == ErrorKind::Overloaded;
+  Context.Current.LackedMemory =
+      !Head && Head.error().Kind == ErrorKind::Overloaded;
   if (!Head)
     LogLine("entry.broken_answer")
         .with("request", Context.Metadata.RequestId)
@@ -270,10 +272,11 @@
     recordAnswer(To, Status);
   else if (Context.isCancelled())
     recordSilence(Context, To, SentAt, Head.has_value());
-  else if (!isOwnFault(Context))
+  else if (!isOwnFault(Context.Current))
     Endpoints.onFailure(To.Endpoint, steadyNow());
   const bool IsBroken = Outcome == StreamOutcome::Indeterminate &&
-                        !Context.isCancelled() && !Context.LackedMemory &&
+                        !Context.isCancelled() &&
+                        !Context.Current.LackedMemory &&
                         (Call->isEndedByServer() || !Call->isEndMarked());
   if (Outcome == StreamOutcome::Indeterminate)
     Call->abort();
@@ -313,7 +316,7 @@
         .with("reason", Relayed.error().Message);
     co_return StreamOutcome::Indeterminate;
   }
-  Expected<std::string> Body = co_await readBody(Context, Call, Head);
+  Expected<std::string> Body = co_await readBody(Context.Current, Call, Head);
   if (Body && isRefusal(Head))
     co_return StreamOutcome::NotRun;
   if (!Body || Context.isCancelled())
@@ -348,12 +351,12 @@
     }
     std::string Ready;
     const char *Fault = nullptr;
-    if (Context.ResponseMemory.resize(State.Output.capacity() +
-                                      State.Splitter.bufferBytes() +
-                                      (*Piece)->size()))
+    if (Context.Current.ResponseMemory.resize(State.Output.capacity() +
+                                              State.Splitter.bufferBytes() +
+                                              (*Piece)->size()))
       State.Splitter.feed(**Piece);
     else
-      Context.LackedMemory = true;
+      Context.Current.LackedMemory = true;
     while (std::optional<StreamEvent> Event = State.Splitter.next()) {
       if (isHttpHead(*Event)) {
         Fault = "another response follows in the stream";
@@ -372,15 +375,15 @@
                                     Context.Caller.requestReadAt());
         Event->Data += '\n';
         if (storesTurn(Context) &&
-            !appendWithin(Context.ResponseMemory, State.Output, Event->Data,
-                          State.Splitter.bufferBytes())) {
-          Context.LackedMemory = true;
+            !appendWithin(Context.Current.ResponseMemory, State.Output,
+                          Event->Data, State.Splitter.bufferBytes())) {
+          Context.Current.LackedMemory = true;
           break;
         }
       }
       Ready += Event->Text;
     }
-    if (Fault == nullptr && Context.LackedMemory)
+    if (Fault == nullptr && Context.Current.LackedMemory)
       Fault = OutOfMemoryReason;
     if (Fault == nullptr && State.Splitter.partialBytes() > MaxEventBytes)
       Fault = "an event is too long";
