Split the cost of an endpoint by cause

choose() weighs the same as before; the parts of the cost and the order of all endpoints can be listed now, for a command that explains a choice.

--- a/packages/relay/include/tamarack/relay/EndpointTable.h
+++ b/packages/relay/include/tamarack/relay/EndpointTable.h
@@ -46,6 +46,46 @@
   std::optional<SoftwareVersion> Version = {};
 };
 
+/// The estimated cost of a request at one endpoint, in milliseconds, by cause.
+struct EndpointCost {
+  /// The requests that run beside it.
+  double BatchMs = 0;
+  /// The part of its prompt that the endpoint has not cached.
+  double PrefillMs = 0;
+  /// The requests beyond the endpoint's slots.
+  double QueueMs = 0;
+  double DistanceMs = 0;
+  /// Added while the endpoint is in back-off.
+  double BackoffMs = 0;
+  /// Added for requests in flight there under which endpoints crashed.
+  double SuspectMs = 0;
+  /// Added if its recent outcomes make it an outlier.
+  double OutlierMs = 0;
+  /// Added for its place in the order of preference.
+  double PreferenceMs = 0;
+
+  double totalMs() const {
+    return BatchMs + PrefillMs + QueueMs + DistanceMs + BackoffMs + SuspectMs +
+           OutlierMs + PreferenceMs;
+  }
+
+  friend bool operator==(const EndpointCost &, const EndpointCost &) = default;
+};
+
+/// One endpoint as it is weighed for a request.
+struct EndpointCandidate {
+  EndpointEntry Entry;
+  EndpointCost Cost;
+  /// The requests of this entry there, and those that others reported.
+  std::uint32_t Running = 0;
+  std::uint32_t RunningElsewhere = 0;
+  /// Its limit in requests per second, if it states one.
+  std::optional<double> RateLimit = {};
+
+  friend bool operator==(const EndpointCandidate &,
+                         const EndpointCandidate &) = default;
+};
+
 struct EndpointTableOptions {
   /// Returns 0 for the local data centre, 1 for others in the local region and
   /// 2 for other regions. All data centres count as local if it is not set.
@@ -69,6 +109,12 @@
   std::optional<EndpointEntry> choose(const EndpointQuery &Query,
                                       TimePoint Now) const;
 
+  /// The endpoints that choose() weighs for \p Query, the cheapest first.
+  std::vector<EndpointCandidate> candidates(const EndpointQuery &Query,
+                                            TimePoint Now) const;
+  /// The time since other entries' load was heard of; empty if it never was.
+  std::optional<Duration> remoteNewsAge(TimePoint Now) const;
+
   /// Counts a request as running. From now on its prompt counts as cached at
   /// the endpoint, up to \p MemoryTokens.
   void onRequestStarted(const EndpointId &Endpoint, TimePoint Now,
@@ -160,8 +206,16 @@
   int distanceTo(const EndpointStatus &Candidate) const;
   static double prefillMs(const EndpointStatus &Candidate,
                           const EndpointQuery &Query);
-  double estimatedCostMs(const EndpointStatus &Candidate,
-                         const EndpointQuery &Query, TimePoint Now) const;
+  /// The cost without what depends on the other endpoints.
+  EndpointCost costOf(const EndpointStatus &Candidate,
+                      const EndpointQuery &Query, TimePoint Now) const;
+  struct WeighedEndpoint {
+    const EndpointStatus *Status;
+    EndpointCost Cost;
+  };
+  /// The endpoints that may get the request, in the order of preference.
+  std::vector<WeighedEndpoint> weigh(const EndpointQuery &Query,
+                                     TimePoint Now) const;
   /// Returns which of \p Candidates are outliers; empty if they are too many
   /// for the others to take over their work.
   std::set<const EndpointStatus *>
--- a/packages/relay/src/EndpointTable.cpp
+++ b/packages/relay/src/EndpointTable.cpp
@@ -210,27 +210,28 @@
   return Uncached / PromptTokensPerMs;
 }
 
-double EndpointTable::estimatedCostMs(const EndpointStatus &Candidate,
-                                      const EndpointQuery &Query,
-                                      TimePoint Now) const {
+EndpointCost EndpointTable::costOf(const EndpointStatus &Candidate,
+                                   const EndpointQuery &Query,
+                                   TimePoint Now) const {
   const EndpointEntry &Entry = Candidate.Entry;
   const double Running =
       Candidate.Running + remoteCount(RemoteNews.InFlight, Entry.Endpoint, Now);
   const double Slots = std::max(1U, Entry.Slots);
-  double Cost = Running * BatchDelayMs;
+  EndpointCost Cost;
+  Cost.BatchMs = Running * BatchDelayMs;
   if (!Query.Prompt.empty())
-    Cost += prefillMs(Candidate, Query) * (1 + Running);
+    Cost.PrefillMs = prefillMs(Candidate, Query) * (1 + Running);
   if (Running >= Slots)
-    Cost += TurnMs * (Running - Slots + 1) / Slots;
+    Cost.QueueMs = TurnMs * (Running - Slots + 1) / Slots;
   const int Distance = distanceTo(Candidate);
   if (Distance >= 2)
-    Cost += OtherRegionMs;
+    Cost.DistanceMs = OtherRegionMs;
   else if (Distance == 1)
-    Cost +=
+    Cost.DistanceMs =
         Query.AffinityKey.empty() ? OtherDataCentreMs : OtherDataCentreTurnMs;
   if (Candidate.BackoffUntil > Now)
-    Cost += BackoffPenaltyMs;
-  Cost += suspectCostMs(Candidate, Query, Now);
+    Cost.BackoffMs = BackoffPenaltyMs;
+  Cost.SuspectMs = suspectCostMs(Candidate, Query, Now);
   return Cost;
 }
 
@@ -286,8 +287,8 @@
       std::chrono::duration<double>(1 / std::max(PerSecond, MinRate)));
 }
 
-std::optional<EndpointEntry> EndpointTable::choose(const EndpointQuery &Query,
-                                                   TimePoint Now) const {
+std::vector<EndpointTable::WeighedEndpoint>
+EndpointTable::weigh(const EndpointQuery &Query, TimePoint Now) const {
   std::vector<const EndpointStatus *> Candidates;
   for (const auto &[Endpoint, Status] : Statuses)
     if (isEligible(Status, Query))
@@ -317,21 +318,55 @@
               return std::tie(Left.IsResumable, Left.Preference) >
                      std::tie(Right.IsResumable, Right.Preference);
             });
-  const EndpointStatus *Best = nullptr;
-  double BestCost = 0;
+  std::vector<WeighedEndpoint> Result;
+  Result.reserve(Order.size());
   for (std::size_t Index = 0; Index < Order.size(); ++Index) {
-    double Cost = estimatedCostMs(*Order[Index].Status, Query, Now) +
-                  PreferenceStepMs * static_cast<double>(Index);
-    if (Outliers.count(Order[Index].Status) > 0)
-      Cost += BackoffPenaltyMs;
-    if (Best == nullptr || Cost < BestCost) {
-      Best = Order[Index].Status;
-      BestCost = Cost;
-    }
+    const EndpointStatus *Status = Order[Index].Status;
+    EndpointCost Cost = costOf(*Status, Query, Now);
+    Cost.PreferenceMs = PreferenceStepMs * static_cast<double>(Index);
+    if (Outliers.count(Status) > 0)
+      Cost.OutlierMs = BackoffPenaltyMs;
+    Result.push_back({Status, Cost});
   }
-  if (Best == nullptr)
+  return Result;
+}
+
+std::optional<EndpointEntry> EndpointTable::choose(const EndpointQuery &Query,
+                                                   TimePoint Now) const {
+  const std::vector<WeighedEndpoint> Weighed = weigh(Query, Now);
+  const auto Best = std::min_element(
+      Weighed.begin(), Weighed.end(),
+      [](const WeighedEndpoint &Left, const WeighedEndpoint &Right) {
+        return Left.Cost.totalMs() < Right.Cost.totalMs();
+      });
+  if (Best == Weighed.end())
+    return std::nullopt;
+  return Best->Status->Entry;
+}
+
+std::vector<EndpointCandidate>
+EndpointTable::candidates(const EndpointQuery &Query, TimePoint Now) const {
+  std::vector<WeighedEndpoint> Weighed = weigh(Query, Now);
+  std::stable_sort(
+      Weighed.begin(), Weighed.end(),
+      [](const WeighedEndpoint &Left, const WeighedEndpoint &Right) {
+        return Left.Cost.totalMs() < Right.Cost.totalMs();
+      });
+  std::vector<EndpointCandidate> Result;
+  Result.reserve(Weighed.size());
+  for (const WeighedEndpoint &Each : Weighed) {
+    const EndpointId &Endpoint = Each.Status->Entry.Endpoint;
+    Result.push_back({Each.Status->Entry, Each.Cost, Each.Status->Running,
+                      remoteCount(RemoteNews.InFlight, Endpoint, Now),
+                      Rates.limitOf(Endpoint, Now)});
+  }
+  return Result;
+}
+
+std::optional<Duration> EndpointTable::remoteNewsAge(TimePoint Now) const {
+  if (RemoteNewsAt == TimePoint())
     return std::nullopt;
-  return Best->Entry;
+  return Now - RemoteNewsAt;
 }
 
 bool EndpointTable::onRateLimit(const EndpointId &Endpoint,
