Explain where a request would go now

tamarack-node explain asks a running entry, at its metrics address, where a request would go and why, without sending it: the route, the service, the workspace by name, why it would be refused, and the endpoints in order with each one's cost by cause. It uses the decisions that requests get, reserves and counts nothing, and neither takes nor prints a key.

--- a/packages/relay/include/tamarack/relay/Relay.h
+++ b/packages/relay/include/tamarack/relay/Relay.h
@@ -23,6 +23,7 @@
 #include "tamarack/relay/Catalog.h"
 #include "tamarack/relay/Dialect.h"
 #include "tamarack/relay/EndpointTable.h"
+#include "tamarack/relay/Explanation.h"
 #include "tamarack/relay/RelayMetrics.h"
 #include "tamarack/relay/StopPlan.h"
 
@@ -95,6 +96,9 @@
   /// ledgers can be reached, so that requests can be served.
   bool isReady() const;
 
+  /// Where \p Request would go now, and why. Changes nothing.
+  Explanation explain(const ExplainedRequest &Request) const;
+
   /// Handles one request until its answer is sent.
   Task<void> serve(HttpExchange &Call);
   /// Exchanges the requests under which endpoints crashed with the ledgers, for
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -321,6 +321,12 @@
   Task<void> forwardResponse(internal::RequestContext &Context, EndpointId From,
                              HttpResponse Response);
 
+  // Explain.cpp: what would become of a request.
+  /// Why a request of \p Found, which is null if no route matches, is refused
+  /// whatever its endpoints are; nothing if it is not.
+  std::optional<Error> refusalOf(const ExplainedRequest &Request,
+                                 const Route *Found) const;
+
   // Origins.cpp: where streams begin and go on.
   /// The turn whose stream a caller resumes; empty if none is named, or by
   /// more bytes than an id has.
