--- a/packages/relay/test/ExplanationTest.cpp
+++ b/packages/relay/test/ExplanationTest.cpp
@@ -1,8 +1,11 @@
+#include "RelayFixture.h"
+
 #include "tamarack/relay/Explanation.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace tamarack;
+using namespace tamarack::testing;
 using namespace std::chrono_literals;
 
 namespace {
@@ -95,3 +98,57 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+struct ExplainingEntry : RelayFixture {
+  ExplainingEntry() {
+    Workspace Acme;
+    Acme.Name = WorkspaceId("acme");
+    Acme.Keys = {"acme-key"};
+    Routes.Workspaces = {Acme};
+    ++Routes.Version;
+    RequestRelay.setCatalog(Routes);
+  }
+  Explanation explain(const std::string &Target,
+                      const std::string &Workspace = "acme") const {
+    return RequestRelay.explain({Routes.Routes.front().Host,
+                                 Target,
+                                 WorkspaceId(Workspace),
+                                 {},
+                                 {},
+                                 {}});
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AnEntryThatExplains, ExplainingEntry)
+
+BOOST_AUTO_TEST_CASE(NamesTheEndpointThatTheRequestThenGoesTo) {
+  const Explanation Explained = explain("/safe/x");
+  BOOST_TEST(!Explained.Refusal);
+  BOOST_REQUIRE(!Explained.Endpoints.empty());
+  setResponses({{signedResponse("hello")}});
+  sendRequest("/safe/x", {{"Id", "1"}, {"Key", "acme-key"}});
+  const std::string Chosen = Explained.Endpoints.front().Entry.Endpoint.text();
+  BOOST_TEST(lastRequest().find("To: " + Chosen) != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(SendsAndCountsNothing) {
+  const Explanation First = explain("/safe/x");
+  const Explanation Second = explain("/safe/x");
+  BOOST_TEST((First.Endpoints == Second.Endpoints));
+  BOOST_TEST(RequestRelay.endpointNews().InFlight.empty());
+}
+
+BOOST_AUTO_TEST_CASE(SaysWhyARequestWouldBeRefused) {
+  BOOST_TEST((explain("/none/x").Refusal == ErrorKind::UnknownService));
+  BOOST_TEST((explain("/safe/x", "nobody").Refusal == ErrorKind::Unauthorized));
+  RequestRelay.setEndpoints({});
+  const Explanation Full = explain("/safe/x");
+  BOOST_TEST((Full.Refusal == ErrorKind::Overloaded));
+  BOOST_TEST(Full.RefusalReason == "no endpoint is available");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
