Let entries measure their own load, shed new programs and leave the rotation

An entry that gets more than its processor bears delays every step of every request, and begins turns that it cannot finish in time.

- Each entry measures how late its event loop runs what is due (probes of 25 ms; the less of two in a row counts, so that a pause is no load) and reports it.
- First turns that would miss their objective are refused before a reservation, with a closed connection, if another entry of the data centre is better off; if none is, once they would wait for a quarter of their time.
Programs under way go on.
What cannot be done in the time that it has left is refused at once.
- The entry is not ready while it is behind, if at least half of its data centre's entries stay; or with all of them, if another data centre of the region is idle.
After two refusals of the readiness check it closes kept connections after their answers.
- Ledgers pass on the loads of the reporter's data centre, and the one of each other data centre that is best off, so that answers stay short in large regions.

Tests: the decisions over five and six entries (one of two lost, all behind, overload that lasts, no reports), the relay with a loop that is held up (three runs), and the ledgers' selection. The rest of quorum_test was not run.

--- a/packages/base/include/tamarack/base/Error.h
+++ b/packages/base/include/tamarack/base/Error.h
@@ -43,6 +43,7 @@
   UnknownStream,
   VersionUnavailable,
   Leaving,
+  EntryBusy,
   Fenced,
   RevisionConflict,
   InvalidConfiguration,
--- a/packages/base/src/Error.cpp
+++ b/packages/base/src/Error.cpp
@@ -33,6 +33,7 @@
     {ErrorKind::UnknownStream, "unknown_stream", 503, seconds(0)},
     {ErrorKind::VersionUnavailable, "version_unavailable", 503, seconds(0)},
     {ErrorKind::Leaving, "leaving", 503, seconds(1)},
+    {ErrorKind::EntryBusy, "entry_busy", 503, seconds(1)},
     {ErrorKind::Fenced, "fenced", 503, seconds(1)},
     {ErrorKind::RevisionConflict, "revision_conflict", 409, seconds(0)},
     {ErrorKind::InvalidConfiguration, "invalid_configuration", 422, seconds(0)},
--- a/packages/quorum/src/LedgerCalls.cpp
+++ b/packages/quorum/src/LedgerCalls.cpp
@@ -9,6 +9,18 @@
 /// has nothing in flight.
 constexpr Duration LoadReportLifetime = std::chrono::seconds(2);
 
+/// How long a report says how busy an entry is. Busy ones report every 40 ms.
+constexpr Duration EntryLoadLifetime = std::chrono::milliseconds(500);
+
+bool canServe(const EntryLoad &Load) {
+  return Load.IsReady && Load.ReachesLedgers;
+}
+
+bool isBetterOff(const EntryLoad &Left, const EntryLoad &Right) {
+  return canServe(Left) == canServe(Right) ? Left.Behind < Right.Behind
+                                           : canServe(Left);
+}
+
 /// The limit on records without text for each turn that is asked for. The rest
 /// of a longer gap is asked for once these are known.
 constexpr std::size_t LinksPerTurn = 8;
@@ -152,6 +164,33 @@
   return Found == RanAt.end() ? EndpointId() : Found->second;
 }
 
+LoadByEntry LedgerNode::Impl::entryLoadsFor(const EndpointLoadReport &Report,
+                                            TimePoint Now) const {
+  const auto Own = Report.News.Entries.find(Report.Reporter);
+  if (Own == Report.News.Entries.end())
+    return {};
+  LoadByEntry Result;
+  std::map<DataCentreId, LoadByEntry::const_iterator> Best;
+  for (const auto &[Reporter, Latest] : LoadReports) {
+    const LoadByEntry &Entries = Latest.Report.News.Entries;
+    const auto Entry = Entries.find(Reporter);
+    if (Entry == Entries.end() || Reporter == Report.Reporter ||
+        Now - Latest.ReceivedAt > EntryLoadLifetime)
+      continue;
+    if (Entry->second.DataCentre == Own->second.DataCentre) {
+      Result.insert(*Entry);
+      continue;
+    }
+    const auto [Found, IsFirst] =
+        Best.try_emplace(Entry->second.DataCentre, Entry);
+    if (!IsFirst && isBetterOff(Entry->second, Found->second->second))
+      Found->second = Entry;
+  }
+  for (const auto &[DataCentre, Entry] : Best)
+    Result.insert(*Entry);
+  return Result;
+}
+
 EndpointNews
 LedgerNode::Impl::exchangeLoadReports(const EndpointLoadReport &Report) {
   const TimePoint Now = steadyNow();
@@ -174,10 +213,10 @@
         Result.Rates[Endpoint] = Result.Rates[Endpoint] + Rate;
       for (const auto &[Name, Use] : News.Workspaces)
         Result.Workspaces[Name] = Result.Workspaces[Name] + Use;
-      Result.Entries.insert(News.Entries.begin(), News.Entries.end());
     }
     ++It;
   }
+  Result.Entries = entryLoadsFor(Report, Now);
   return Result;
 }
 
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -144,6 +144,10 @@
   /// Stores \p Report and returns the sum of the recent reports of all other
   /// processes.
   EndpointNews exchangeLoadReports(const EndpointLoadReport &Report);
+  /// The loads of all entries of the reporter's data centre, and of the one of
+  /// each other data centre that is best off.
+  LoadByEntry entryLoadsFor(const EndpointLoadReport &Report,
+                            TimePoint Now) const;
   void handleChain(const ChainRequest &Request,
                    const LinkServer::Reply &Answer);
   void handleFetchTurns(const Json &Body, const LinkServer::Reply &Answer);
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -273,6 +273,40 @@
   BOOST_TEST((Elsewhere.Rates[EndpointId("e")] == EndpointRate{6.5, 5, 50}));
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    ReportsToEachEntryTheLoadsOfItsDataCentreAndTheLeastOfOthers,
+    QuorumFixture) {
+  startAll();
+  LoadByEntry Elsewhere;
+  std::vector<std::unique_ptr<QuorumClient>> Entries;
+  const std::vector<std::pair<std::string, EntryLoad>> Loads = {
+      {"a1", {5ms, DataCentreId("a")}},
+      {"a2", {9ms, DataCentreId("a"), true, false}},
+      {"b1", {1ms, DataCentreId("b"), true, false}},
+      {"b2", {3ms, DataCentreId("b")}},
+      {"b3", {8ms, DataCentreId("b")}},
+      {"a3", {0ms, DataCentreId("a")}}};
+  for (const auto &[Name, Load] : Loads) {
+    QuorumOptions Options;
+    Options.MakeLoadReport = [Name = InstanceId(Name), Load = Load] {
+      EndpointNews News;
+      News.Entries[Name] = Load;
+      return EndpointLoadReport{Name, News};
+    };
+    Options.OnNewsElsewhere = [&Elsewhere](const EndpointNews &News) {
+      Elsewhere = News.Entries;
+    };
+    Entries.push_back(std::make_unique<QuorumClient>(Io, Options));
+    Entries.back()->setView(Views.Current);
+    BOOST_REQUIRE(
+        await(Entries.back()->storeRecord({turn("a"), {}}, steadyNow() + 5s)));
+  }
+  Io.run_for(20ms);
+  BOOST_TEST((Elsewhere == LoadByEntry{{InstanceId("a1"), Loads[0].second},
+                                       {InstanceId("a2"), Loads[1].second},
+                                       {InstanceId("b2"), Loads[3].second}}));
+}
+
 BOOST_AUTO_TEST_SUITE(FindsChains)
 
 BOOST_FIXTURE_TEST_CASE(OldestFirst, QuorumFixture) {
--- a/packages/relay/include/tamarack/relay/Relay.h
+++ b/packages/relay/include/tamarack/relay/Relay.h
@@ -55,6 +55,10 @@
   /// endpoint of a service is known or most of them have disappeared. May be
   /// null.
   std::function<Task<void>(TimePoint Deadline)> ListEndpoints;
+  /// The entry and its data centre, as reported to other entries. It never
+  /// leaves the rotation for its load if the data centre is empty.
+  InstanceId Instance;
+  DataCentreId DataCentre;
   /// Identifies this start of the process among all processes.
   std::string ProcessId;
   CrashLimits Crashes;
@@ -79,7 +83,8 @@
   void setEndpoints(std::vector<EndpointEntry> Entries);
   /// The active configuration.
   const Catalog &catalog() const;
-  /// The load and the recent outcomes of this entry at each endpoint.
+  /// The load and the recent outcomes of this entry at each endpoint, and its
+  /// own load.
   EndpointNews endpointNews() const;
   /// Sets the sum of what all other entries of the region report.
   void setRemoteNews(const EndpointNews &News);
@@ -88,14 +93,23 @@
   /// answered are aborted.
   void stop(const StopPlan &Plan);
   /// Whether the configuration and the endpoints are known and a quorum of
-  /// ledgers can be reached, so that requests can be served.
+  /// ledgers can be reached, so that requests can be served, and the entry has
+  /// not left the rotation for its load.
   bool isReady() const;
+  /// Records what was answered to a check of the readiness.
+  void onReadinessAnswered(bool Ready);
+  /// The delay of the event loop, and whether turns are late because of it.
+  Duration loopDelay() const;
+  bool isBehind() const;
 
   /// Handles one request until its answer is sent.
   Task<void> serve(HttpExchange &Call);
   /// Exchanges the requests under which endpoints crashed with the ledgers, for
   /// as long as the process runs.
   Task<void> exchangeCrashes();
+  /// Measures the delay of the event loop, and decides from it whether the
+  /// entry takes further connections, for as long as the process runs.
+  Task<void> watchLoad();
 
 private:
   struct Impl;
--- a/packages/relay/include/tamarack/relay/RelayMetrics.h
+++ b/packages/relay/include/tamarack/relay/RelayMetrics.h
@@ -48,6 +48,8 @@
   void countEndpointCrash();
   void countResumption(ResumptionOutcome Outcome);
   void observeLedgerLatency(Duration Elapsed);
+  /// Records how late one probe of the event loop ran.
+  void observeLoopDelay(Duration Late);
   /// Records the age that the local copy of the store reached before it was
   /// confirmed again.
   void observeStoreAge(Duration Age);
--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -35,7 +35,7 @@
 /// \p Kind.
 bool isLocalCause(ErrorKind Kind) {
   return Kind == ErrorKind::NotEnoughCopies || Kind == ErrorKind::Leaving ||
-         Kind == ErrorKind::PlatformUnavailable;
+         Kind == ErrorKind::PlatformUnavailable || Kind == ErrorKind::EntryBusy;
 }
 
 /// Ids are kept beyond their requests, here and at the ledgers.
@@ -48,12 +48,23 @@
 }
 
 Duration retryAfter(const RequestContext &Context, ErrorKind Kind) {
+  if (Context.LoadDelay)
+    return std::max(*Context.LoadDelay, RetryAfterElsewhere);
   if (isLocalCause(Kind))
     return RetryAfterElsewhere;
   return std::clamp(Context.RateLimitDelay.value_or(RetryAfterFull),
                     RetryAfterFull, MaxRetryAfter);
 }
 
+std::optional<Duration> tightestTurnTarget(const Catalog &From) {
+  std::optional<Duration> Result;
+  for (const Route &Each : From.Routes)
+    if (Each.Kind == RequestKind::Stream)
+      Result =
+          std::min(Result.value_or(Each.TargetLatency), Each.TargetLatency);
+  return Result;
+}
+
 Task<Expected<void>> asExpected(Task<void> Work) {
   co_await std::move(Work);
   co_return Expected<void>();
@@ -85,6 +96,7 @@
       .with("routes", Next.Routes.size())
       .with("services", Next.Services.size());
   Inner->ActiveCatalog = std::move(Next);
+  Inner->TurnTarget = tightestTurnTarget(Inner->ActiveCatalog);
 }
 
 void Relay::setEndpoints(std::vector<EndpointEntry> Entries) {
@@ -97,11 +109,15 @@
 }
 
 EndpointNews Relay::endpointNews() const {
-  return Inner->Endpoints.news(steadyNow());
+  EndpointNews Result = Inner->Endpoints.news(steadyNow());
+  if (!Inner->DataCentre.empty())
+    Result.Entries[Inner->Instance] = Inner->ownLoad();
+  return Result;
 }
 
 void Relay::setRemoteNews(const EndpointNews &News) {
   Inner->Endpoints.setRemoteNews(News, steadyNow());
+  Inner->Rotation.hear(News.Entries, steadyNow());
 }
 
 const Catalog &Relay::catalog() const { return Inner->ActiveCatalog; }
@@ -114,15 +130,20 @@
     Wait->raise();
 }
 
-bool Relay::isReady() const {
-  return Inner->ActiveCatalog.Version > 0 && Inner->Endpoints.size() > 0 &&
-         Inner->Ledgers.hasView() && Inner->Ledgers.isReachable();
+bool Relay::isReady() const { return Inner->isReady(); }
+Duration Relay::loopDelay() const { return Inner->Delay.value(); }
+bool Relay::isBehind() const { return Inner->Rotation.isBehind(); }
+
+void Relay::onReadinessAnswered(bool Ready) {
+  Inner->UnreadyAnswers = Ready ? 0 : Inner->UnreadyAnswers + 1;
 }
 
 Task<void> Relay::serve(HttpExchange &Call) { return Inner->serve(Call); }
 
 Task<void> Relay::exchangeCrashes() { return Inner->exchangeCrashes(); }
 
+Task<void> Relay::watchLoad() { return Inner->watchLoad(); }
+
 std::optional<Error> Relay::Impl::prepare(RequestContext &Context) {
   const HttpRequest &Request = Context.Caller.request();
   if (steadyNow() >= Stop.RefuseAt)
@@ -228,6 +249,11 @@
     co_await refuseRequest(*Context, std::move(*Failure));
     co_return;
   }
+  Failure = refusalUnderLoad(*Context);
+  if (Failure) {
+    co_await refuseRequest(*Context, std::move(*Failure));
+    co_return;
+  }
   Context->Body = std::move(Caller.request().Body);
   Failure = holdRequest(*Context, 0);
   if (Failure) {
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -4,7 +4,9 @@
 
 #include "tamarack/net/Log.h"
 #include "tamarack/relay/ChainCache.h"
+#include "tamarack/relay/EntryLoad.h"
 #include "tamarack/relay/EventStream.h"
+#include "tamarack/relay/ProgramsUnderWay.h"
 #include "tamarack/relay/Relay.h"
 #include "tamarack/relay/Resumption.h"
 
@@ -104,6 +106,9 @@
   /// Set if no endpoint was chosen because of their rate limits: the mean time
   /// until these admit another request.
   std::optional<Duration> RateLimitDelay;
+  /// Set if the request is refused for the entry's own load: when its caller
+  /// should come back.
+  std::optional<Duration> LoadDelay;
   bool CallerDisconnected = false;
   bool Expired = false;
   /// Whether an event was written after the caller had ended its sending side.
@@ -208,8 +213,9 @@
         Configuration(std::move(Options.Configuration)),
         ListEndpoints(std::move(Options.ListEndpoints)), EndpointsListed(Io),
         Crashes(Options.Crashes, Options.ProcessId),
-        CrashExchangeInterval(Options.CrashExchangeInterval),
-        CrashObserved(Io) {
+        CrashExchangeInterval(Options.CrashExchangeInterval), CrashObserved(Io),
+        Rotation(Options.Instance, Options.DataCentre),
+        Instance(Options.Instance), DataCentre(Options.DataCentre) {
     const auto Jitter =
         stableHash(Options.ProcessId) %
         static_cast<std::uint64_t>(MaxListingJitter / Duration(1));
@@ -248,6 +254,15 @@
     bool IsCalled = false;
   };
   std::map<std::string, CrashPeer> CrashPeers;
+  LoopDelay Delay;
+  EntryRotation Rotation;
+  const InstanceId Instance;
+  const DataCentreId DataCentre;
+  ProgramsUnderWay Programs;
+  /// The tightest objective of all routes with turns; none if there are none.
+  std::optional<Duration> TurnTarget;
+  /// The answers since the last one that said "ready".
+  int UnreadyAnswers = 0;
   StopPlan Stop;
   /// The requests whose deadline timers run.
   std::set<std::shared_ptr<internal::RequestContext>> Running;
@@ -293,6 +308,17 @@
   Task<void> forwardResponse(internal::RequestContext &Context, EndpointId From,
                              HttpResponse Response);
 
+  // Load.cpp: the load of this entry.
+  Task<void> watchLoad();
+  void updateRotation(TimePoint Now);
+  EntryLoad ownLoad() const;
+  bool isReady() const;
+  /// Whether callers that keep their connections are to open new ones, which
+  /// lead elsewhere.
+  bool closesConnections() const;
+  /// Returns why the request is refused early, if it is.
+  std::optional<Error> refusalUnderLoad(internal::RequestContext &Context);
+
   // Origins.cpp: where streams begin and go on.
   /// The turn whose stream a caller resumes; empty if none is named, or by
   /// more bytes than an id has.
--- a/packages/relay/src/RelayMetrics.cpp
+++ b/packages/relay/src/RelayMetrics.cpp
@@ -42,12 +42,19 @@
 }
 
 std::vector<std::string> relayMetricNames() {
-  return {"tamarack_answers_total",       "tamarack_refusals_total",
-          "tamarack_retries_total",       "tamarack_answer_seconds",
-          "tamarack_first_event_seconds", "tamarack_ledger_seconds",
-          "tamarack_store_age_seconds",   "tamarack_streams_broken_total",
-          "tamarack_callers_left_total",  "tamarack_endpoint_crashes_total",
-          "tamarack_resumptions_total",   "tamarack_state"};
+  return {"tamarack_answers_total",
+          "tamarack_refusals_total",
+          "tamarack_retries_total",
+          "tamarack_answer_seconds",
+          "tamarack_first_event_seconds",
+          "tamarack_ledger_seconds",
+          "tamarack_store_age_seconds",
+          "tamarack_streams_broken_total",
+          "tamarack_callers_left_total",
+          "tamarack_endpoint_crashes_total",
+          "tamarack_resumptions_total",
+          "tamarack_loop_delay_seconds",
+          "tamarack_state"};
 }
 
 struct RelayMetrics::Impl {
@@ -86,6 +93,8 @@
   prometheus::Histogram &LedgerSeconds =
       histogram("tamarack_ledger_seconds",
                 "From a record's sending until the quorum kept it");
+  prometheus::Histogram &LoopDelaySeconds = histogram(
+      "tamarack_loop_delay_seconds", "How late the event loop ran a probe");
   prometheus::Histogram &StoreAgeSeconds = histogram(
       "tamarack_store_age_seconds",
       "Age of the local copy of the store when it was confirmed", AgeBounds);
@@ -155,6 +164,10 @@
   Inner->LedgerSeconds.Observe(seconds(Elapsed));
 }
 
+void RelayMetrics::observeLoopDelay(Duration Late) {
+  Inner->LoopDelaySeconds.Observe(seconds(Late));
+}
+
 void RelayMetrics::observeStoreAge(Duration Age) {
   Inner->StoreAgeSeconds.Observe(seconds(Age));
 }
