--- a/packages/base/include/tamarack/base/Error.h
+++ b/packages/base/include/tamarack/base/Error.h
@@ -44,6 +44,7 @@
   UnknownStream,
   VersionUnavailable,
   Leaving,
+  EntryBusy,
   Fenced,
   RevisionConflict,
   InvalidConfiguration,
--- a/packages/relay/src/Explain.cpp
+++ b/packages/relay/src/Explain.cpp
@@ -35,6 +35,7 @@
   Result.CatalogAge = Inner->catalogAge();
   Result.NewsAge = Inner->Endpoints.remoteNewsAge(Now);
   Result.ReachesLedgers = Inner->Ledgers.isReachable();
+  Result.Behind = Inner->Delay.value();
   const Route *Found =
       matchRoute(Inner->ActiveCatalog, Request.Host, Request.Target);
   if (Found != nullptr) {
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -4,6 +4,7 @@
 
 #include "tamarack/net/Log.h"
 #include "tamarack/relay/ChainCache.h"
+#include "tamarack/relay/EntryLoad.h"
 #include "tamarack/relay/EventStream.h"
 #include "tamarack/relay/Hedging.h"
 #include "tamarack/relay/ProgramsUnderWay.h"
@@ -190,6 +191,9 @@
   /// Set if no endpoint was chosen because of their rate limits: the mean time
   /// until these admit another request.
   std::optional<Duration> RateLimitDelay;
+  /// Set if the request is refused for the entry's own load: when its caller
+  /// should come back.
+  std::optional<Duration> LoadDelay;
   bool CallerDisconnected = false;
   bool Expired = false;
   /// Whether an event was written after the caller had ended its sending side.
@@ -231,6 +235,11 @@
   ProgramId programNamed(const std::string &Id) const {
     return ProgramId(scopedId(Workspace, Id));
   }
+  /// The program of the request, as the ledgers know it; empty if it has none.
+  ProgramId program() const {
+    return Metadata.Program.empty() ? ProgramId()
+                                    : programNamed(Metadata.Program.text());
+  }
   void abortCalls() {
     Current.abort();
     if (!Second)
@@ -305,7 +314,9 @@
         ListEndpoints(std::move(Options.ListEndpoints)), EndpointsListed(Io),
         Crashes(Options.Crashes, Options.ProcessId),
         CrashExchangeInterval(Options.CrashExchangeInterval), CrashObserved(Io),
-        Distance(Options.Endpoints.Distance), Instance(Options.Instance),
+        Distance(Options.Endpoints.Distance),
+        Rotation(Options.Instance, Options.DataCentre),
+        Instance(Options.Instance), DataCentre(Options.DataCentre),
         ProcessId(Options.ProcessId),
         Limits(Options.WorkspaceLimits, steadyNow()) {
     const auto Jitter =
@@ -350,12 +361,19 @@
   };
   std::map<std::string, CrashPeer> CrashPeers;
   const std::function<int(const DataCentreId &)> Distance;
+  LoopDelay Delay;
+  EntryRotation Rotation;
   const InstanceId Instance;
+  const DataCentreId DataCentre;
+  ProgramsUnderWay Programs;
+  /// The tightest objective of all routes with turns; none if there are none.
+  std::optional<Duration> TurnTarget;
+  /// The answers since the last one that said "ready".
+  int UnreadyAnswers = 0;
   const std::string ProcessId;
   WorkspaceLimits Limits;
   /// Whether any workspace has a limit.
   bool HasLimits = false;
-  ProgramsUnderWay Programs;
   /// The exchange of the use of workspaces with one ledger.
   struct UsePeer {
     bool IsCalled = false;
@@ -421,6 +439,17 @@
   std::optional<Error> refusalOf(const ExplainedRequest &Request,
                                  const Route *Found) const;
 
+  // Load.cpp: the load of this entry.
+  Task<void> watchLoad();
+  void updateRotation(TimePoint Now);
+  EntryLoad ownLoad() const;
+  bool isReady() const;
+  /// Whether callers that keep their connections are to open new ones, which
+  /// lead elsewhere.
+  bool closesConnections() const;
+  /// Returns why the request is refused early, if it is.
+  std::optional<Error> refusalUnderLoad(internal::RequestContext &Context);
+
   // Origins.cpp: where streams begin and go on.
   /// The turn whose stream a caller resumes; empty if none is named, or by
   /// more bytes than an id has.
--- a/packages/relay/src/RelayMetrics.cpp
+++ b/packages/relay/src/RelayMetrics.cpp
@@ -68,6 +68,7 @@
           "tamarack_single_requests_total",
           "tamarack_second_attempts_total",
           "tamarack_second_attempts_refused_total",
+          "tamarack_loop_delay_seconds",
           "tamarack_state"};
 }
 
@@ -117,6 +118,8 @@
   prometheus::Histogram &LedgerSeconds =
       histogram("tamarack_ledger_seconds",
                 "From a record's sending until the quorum kept it");
+  prometheus::Histogram &LoopDelaySeconds = histogram(
+      "tamarack_loop_delay_seconds", "How late the event loop ran a probe");
   prometheus::Histogram &StoreAgeSeconds = histogram(
       "tamarack_store_age_seconds",
       "Age of the local copy of the store when it was confirmed", AgeBounds);
@@ -198,6 +201,10 @@
   Inner->LedgerSeconds.Observe(seconds(Elapsed));
 }
 
+void RelayMetrics::observeLoopDelay(Duration Late) {
+  Inner->LoopDelaySeconds.Observe(seconds(Late));
+}
+
 void RelayMetrics::observeStoreAge(Duration Age) {
   Inner->StoreAgeSeconds.Observe(seconds(Age));
 }
--- a/packages/relay/src/WorkspaceUse.cpp
+++ b/packages/relay/src/WorkspaceUse.cpp
@@ -43,11 +43,10 @@
     return std::nullopt;
   const TimePoint Now = steadyNow();
   const RequestMetadata &Metadata = Context.Metadata;
-  const ProgramId Program = Context.programNamed(Metadata.Program.text());
   const bool MayBegin = Context.MatchedRoute.Kind == RequestKind::Stream &&
                         !Metadata.Program.empty() &&
                         Metadata.Previous.empty() && !isResumption(Metadata) &&
-                        !Programs.isUnderWay(Program, Now);
+                        !Programs.isUnderWay(Context.program(), Now);
   ProgramPhase Phase =
       MayBegin ? ProgramPhase::FirstTurn : ProgramPhase::UnderWay;
   LimitedUse Use{Now, false, {}, false};
@@ -64,8 +63,6 @@
     Use.BegunAt = Now;
   Limits.onAdmitted(*Owner, Phase, Now);
   Context.Use = Use;
-  if (!Use.NeedsKnownProgram)
-    Programs.note(Program, Now);
   return std::nullopt;
 }
 
@@ -82,8 +79,7 @@
   const Workspace *Owner = limitedWorkspace(Context);
   if (!Context.HasEarlierTurns && Owner != nullptr)
     return workspaceLimitError(Context, *Owner, ProgramPhase::FirstTurn);
-  Programs.note(Context.programNamed(Context.Metadata.Program.text()),
-                steadyNow());
+  Programs.note(Context.program(), steadyNow());
   return std::nullopt;
 }
 
