Accept all waiting connections in a turn of the loop

Cause: acceptLoop() took one connection in each turn of the loop. With turns of some 50 ms, new connections waited in the listen queue for seconds, where neither the measure of the loop nor the time of a request sees them.

Change: each turn takes what waits, 64 at most.

--- a/packages/net/include/tamarack/net/Loop.h
+++ b/packages/net/include/tamarack/net/Loop.h
@@ -13,6 +13,7 @@
 #include "tamarack/base/Error.h"
 
 #include <functional>
+#include <limits>
 
 #include <utility>
 
@@ -98,10 +99,11 @@
 Task<void> acceptLoop(Tcp::acceptor &Listener,
                       std::function<void(Tcp::socket)> Accepted);
 
-/// Passes all connections that wait for \p Listener to \p Accepted, without
-/// suspending. Returns whether none is left.
+/// Passes the connections that wait for \p Listener to \p Accepted, \p Most at
+/// most, without suspending. Returns whether none is left.
 bool acceptWaiting(Tcp::acceptor &Listener,
-                   const std::function<void(Tcp::socket)> &Accepted);
+                   const std::function<void(Tcp::socket)> &Accepted,
+                   std::size_t Most = std::numeric_limits<std::size_t>::max());
 
 /// Opens a listener on \p Address, "IP:PORT". Fails with InvalidConfiguration.
 Expected<Tcp::acceptor> listenOn(Loop &Io, const std::string &Address);
--- a/packages/net/src/Loop.cpp
+++ b/packages/net/src/Loop.cpp
@@ -10,6 +10,9 @@
 namespace tamarack {
 namespace {
 
+/// The connections that a busy listener takes before others get their turn.
+constexpr std::size_t MaxAcceptsPerTurn = 64;
+
 /// Maximum number of connections that wait to be accepted. If the queue is
 /// full, a caller waits seconds until TCP retries.
 constexpr int ListenBacklog = 1024;
@@ -131,33 +134,39 @@
       : PortState::Silent;
 }
 
-Task<void> acceptLoop(Tcp::acceptor &Listener,
-                      std::function<void(Tcp::socket)> Accepted) {
-  while (Listener.is_open()) {
-    ErrorCode Failure;
-    Tcp::socket Socket = co_await Listener.async_accept(storeErrorIn(Failure));
-    if (!Failure)
-      Accepted(std::move(Socket));
-    else if (Failure == asio::error::no_descriptors)
-      co_await pause(static_cast<Loop &>(Listener.get_executor().context()),
-                     std::chrono::milliseconds(50));
-  }
-}
-
 bool acceptWaiting(Tcp::acceptor &Listener,
-                   const std::function<void(Tcp::socket)> &Accepted) {
+                   const std::function<void(Tcp::socket)> &Accepted,
+                   std::size_t Most) {
   ErrorCode Failure;
   Listener.non_blocking(true, Failure);
   // Otherwise Asio blocks after a connection that was lost in the queue.
   Listener.set_option(asio::socket_base::enable_connection_aborted(true),
                       Failure);
-  while (true) {
+  for (std::size_t Count = 0; Count < Most; ++Count) {
     Tcp::socket Socket = Listener.accept(Failure);
     if (!Failure)
       Accepted(std::move(Socket));
     else if (Failure != asio::error::connection_aborted)
       return Failure == asio::error::would_block;
   }
+  return false;
+}
+
+Task<void> acceptLoop(Tcp::acceptor &Listener,
+                      std::function<void(Tcp::socket)> Accepted) {
+  while (Listener.is_open()) {
+    ErrorCode Failure;
+    Tcp::socket Socket = co_await Listener.async_accept(storeErrorIn(Failure));
+    if (!Failure) {
+      Accepted(std::move(Socket));
+      // One in each turn of a busy loop would leave the others in the queue,
+      // where nothing shows how long they wait.
+      acceptWaiting(Listener, Accepted, MaxAcceptsPerTurn);
+    } else if (Failure == asio::error::no_descriptors) {
+      co_await pause(static_cast<Loop &>(Listener.get_executor().context()),
+                     std::chrono::milliseconds(50));
+    }
+  }
 }
 
 Expected<Tcp::acceptor> listenOn(Loop &Io, const std::string &Address) {
