--- a/packages/relay/src/RateLimits.cpp
+++ b/packages/relay/src/RateLimits.cpp
@@ -17,8 +17,7 @@
 constexpr double UnknownShare = 0.25;
 
 double inPeriod(double PerSecond) {
-  return PerSecond *
-         std::chrono::duration<double>(RateLimits::Period).count();
+  return PerSecond * std::chrono::duration<double>(RateLimits::Period).count();
 }
 
 } // namespace
--- a/packages/relay/src/WorkspaceUse.cpp
+++ b/packages/relay/src/WorkspaceUse.cpp
@@ -14,8 +14,11 @@
 constexpr Duration ExchangeTimeout = std::chrono::milliseconds(400);
 /// How long another ledger is asked in place of one that did not answer.
 constexpr Duration SilentPeriod = std::chrono::seconds(2);
-/// How often a deployment without limits is looked at for new ones.
+/// How often a configuration without limits is looked at for new ones, and the
+/// first one for any: until there are news, an entry refuses what others might
+/// have sent.
 constexpr Duration UnlimitedInterval = std::chrono::milliseconds(500);
+constexpr Duration StartInterval = std::chrono::milliseconds(20);
 /// Callers that are refused together are told times that differ by this part.
 constexpr double SpreadPart = 0.5;
 
@@ -139,8 +142,11 @@
 
 Task<void> Relay::Impl::exchangeWorkspaceUse() {
   while (true) {
-    if (!HasLimits) {
-      co_await pause(Io, UnlimitedInterval);
+    const bool IsStarting =
+        ActiveCatalog.Version == 0 || Ledgers.view().Members.empty();
+    if (IsStarting || !HasLimits) {
+      const Duration Wait = IsStarting ? StartInterval : UnlimitedInterval;
+      co_await pause(Io, Wait);
       continue;
     }
     const TimePoint Now = steadyNow();
