--- a/packages/relay/test/WorkspaceLimitsTest.cpp
+++ b/packages/relay/test/WorkspaceLimitsTest.cpp
@@ -137,7 +137,7 @@
           InstanceId("e" + std::to_string(Index)), Each.Process, 5s, {}, {}};
       Each.Limits->fillReport(Report, Now);
       for (std::size_t Ledger = 0; Ledger < Ledgers.size(); ++Ledger)
-        if (!areLedgersSilent)
+        if (!AreLedgersSilent)
           Answers.emplace_back(Now + Delay, [this, Ledger, Index, Report,
                                              At = Now, Process = Each.Process] {
             const WorkspaceNews News = Ledgers[Ledger].exchange(Report, Now);
@@ -187,7 +187,7 @@
   std::deque<std::pair<TimePoint, std::function<void()>>> Answers;
   /// From an entry to a ledger and back.
   Duration Delay = 45ms;
-  bool areLedgersSilent = false;
+  bool AreLedgersSilent = false;
   std::vector<Program> Programs;
   std::vector<TimePoint> AskedAt;
   std::vector<TimePoint> SentAt;
@@ -296,8 +296,8 @@
 const std::vector<Trouble> Troubles = {
     {"reports take 300 ms", [](Fleet &All) { All.Delay = 300ms; },
      [](Fleet &All) { All.Delay = 45ms; }},
-    {"ledgers are silent", [](Fleet &All) { All.areLedgersSilent = true; },
-     [](Fleet &All) { All.areLedgersSilent = false; }},
+    {"ledgers are silent", [](Fleet &All) { All.AreLedgersSilent = true; },
+     [](Fleet &All) { All.AreLedgersSilent = false; }},
     {"all entries are restarted",
      [](Fleet &All) {
        for (std::size_t Index = 0; Index < All.Entries.size(); ++Index)
--- a/packages/relay/test/WorkspaceUseTest.cpp
+++ b/packages/relay/test/WorkspaceUseTest.cpp
@@ -22,6 +22,7 @@
     ++Routes.Version;
     LimitedRelay.setCatalog(Routes);
     std::vector<EndpointEntry> Entries;
+    Entries.reserve(2);
     for (int Number = 0; Number < 2; ++Number)
       Entries.push_back(
           {EndpointId("e" + std::to_string(Number)), ServiceId("s"),
