--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -293,6 +293,12 @@
     co_await refuseRequest(*Context, std::move(*Failure));
     co_return;
   }
+  if (awaitsUseNews(*Context)) {
+    // A common deadline, as for a listing.
+    auto Awaiting = asExpected(UseNewsReceived.wait(FirstNewsUntil));
+    co_await waitUntil(waitLimit(Context->Deadline, internal::MaxNewsWait),
+                       std::move(Awaiting));
+  }
   Failure = admitToWorkspace(*Context);
   if (Failure) {
     co_await refuseRequest(*Context, std::move(*Failure));
--- a/packages/relay/src/RelayImpl.h
+++ b/packages/relay/src/RelayImpl.h
@@ -28,6 +28,12 @@
 /// within 50 ms, or 300 ms while it is slow.
 inline constexpr Duration StoreConfirmTimeout = std::chrono::milliseconds(400);
 
+/// How long after its start an entry lets requests of limited workspaces wait
+/// for the first news of the other entries, and how long each of them. It then
+/// refuses what the others might have sent.
+inline constexpr Duration FirstNewsTime = std::chrono::milliseconds(1000);
+inline constexpr Duration MaxNewsWait = std::chrono::milliseconds(300);
+
 /// The longest time for which a wait takes no look at its limit.
 inline constexpr Duration LimitCheckInterval = std::chrono::hours(1);
 
@@ -253,7 +259,8 @@
         CrashExchangeInterval(Options.CrashExchangeInterval), CrashObserved(Io),
         Distance(Options.Endpoints.Distance), Instance(Options.Instance),
         ProcessId(Options.ProcessId),
-        Limits(Options.WorkspaceLimits, steadyNow()) {
+        Limits(Options.WorkspaceLimits, steadyNow()), UseNewsReceived(Io),
+        FirstNewsUntil(steadyNow() + internal::FirstNewsTime) {
     const auto Jitter =
         stableHash(Options.ProcessId) %
         static_cast<std::uint64_t>(MaxListingJitter / Duration(1));
@@ -308,6 +315,9 @@
     TimePoint SilentUntil;
   };
   std::map<std::string, UsePeer> UsePeers;
+  /// Raised by the first news, for which requests wait until FirstNewsUntil.
+  Signal UseNewsReceived;
+  const TimePoint FirstNewsUntil;
   /// Whether there were news of other entries when that was last logged.
   bool HadUseNews = false;
   StopPlan Stop;
@@ -452,6 +462,8 @@
   /// The workspace of the request if it is limited, else nullptr.
   const Workspace *
   limitedWorkspace(const internal::RequestContext &Context) const;
+  /// Whether the entry has just started and hears of the others in a moment.
+  bool awaitsUseNews(const internal::RequestContext &Context) const;
   /// Counts the request towards the limit of its workspace. Returns why it is
   /// refused, if it is.
   std::optional<Error> admitToWorkspace(internal::RequestContext &Context);
--- a/packages/relay/src/WorkspaceUse.cpp
+++ b/packages/relay/src/WorkspaceUse.cpp
@@ -40,6 +40,12 @@
   return Owner != nullptr && hasLimit(*Owner) ? Owner : nullptr;
 }
 
+bool Relay::Impl::awaitsUseNews(const RequestContext &Context) const {
+  const TimePoint Now = steadyNow();
+  return Now < FirstNewsUntil && limitedWorkspace(Context) != nullptr &&
+         !Limits.hasNews(Now);
+}
+
 std::optional<Error> Relay::Impl::admitToWorkspace(RequestContext &Context) {
   const Workspace *Owner = limitedWorkspace(Context);
   if (Owner == nullptr)
@@ -180,6 +186,7 @@
   try {
     Limits.setNews(Address, Answer->get<WorkspaceNews>(), ReportedAt,
                    steadyNow());
+    UseNewsReceived.raise();
   } catch (const Json::exception &Failure) {
     Peer.SilentUntil = steadyNow() + SilentPeriod;
     LogLine("entry.workspace_news_refused")
--- a/packages/relay/test/WorkspaceUseTest.cpp
+++ b/packages/relay/test/WorkspaceUseTest.cpp
@@ -21,14 +21,7 @@
     Routes.Workspaces = {Limited, Free};
     ++Routes.Version;
     LimitedRelay.setCatalog(Routes);
-    std::vector<EndpointEntry> Entries;
-    Entries.reserve(2);
-    for (int Number = 0; Number < 2; ++Number)
-      Entries.push_back(
-          {EndpointId("e" + std::to_string(Number)), ServiceId("s"),
-           "127.0.0.1:" + std::to_string(FirstEndpointPort + Number),
-           DataCentreId("a"), 16, EndpointState::Ready, 0});
-    LimitedRelay.setEndpoints(Entries);
+    LimitedRelay.setEndpoints(entries());
     setResponses({{signedResponse("hello")}});
     Server.close();
     BOOST_REQUIRE(LimitedServer.listen(EntryAddress));
@@ -42,6 +35,16 @@
   }
   ~LimitedFixture() { LimitedServer.close(); }
 
+  static std::vector<EndpointEntry> entries() {
+    std::vector<EndpointEntry> Result;
+    Result.reserve(2);
+    for (int Number = 0; Number < 2; ++Number)
+      Result.push_back(
+          {EndpointId("e" + std::to_string(Number)), ServiceId("s"),
+           "127.0.0.1:" + std::to_string(FirstEndpointPort + Number),
+           DataCentreId("a"), 16, EndpointState::Ready, 0});
+    return Result;
+  }
   RelayOptions limitedOptions() {
     RelayOptions Result = options();
     Result.Instance = InstanceId("entry-1");
@@ -85,6 +88,10 @@
       nullptr};
 };
 
+struct FreshFixture : LimitedFixture {
+  Relay FreshRelay{Io, limitedOptions(), Wire, Client, Pool, Metrics};
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(AWorkspaceAtItsLimit, LimitedFixture)
@@ -130,6 +137,28 @@
   BOOST_TEST(callsUntilRefused() == 19);
 }
 
+/// Entries that are all restarted at once would refuse what comes before they
+/// have heard of each other.
+BOOST_FIXTURE_TEST_CASE(IsServedByAnEntryThatHasJustStarted, FreshFixture) {
+  FreshRelay.setCatalog(Routes);
+  FreshRelay.setEndpoints(entries());
+  LimitedServer.close();
+  HttpServer FreshServer(
+      Io, {}, [&](HttpExchange &Call) { return FreshRelay.serve(Call); },
+      nullptr);
+  BOOST_REQUIRE(FreshServer.listen(EntryAddress));
+  for (const char *Id : {"f1", "f2", "f3"})
+    startRequest("/safe/x", {{"Id", Id}, {"Key", "acme-key"}});
+  const TimePoint StartedAt = steadyNow();
+  until([&] { return steadyNow() >= StartedAt + 50ms; });
+  BOOST_TEST(requestCount() == 0U);
+  spawn(Io, FreshRelay.exchangeWorkspaceUse());
+  untilAnswered();
+  for (const auto &Result : Results)
+    BOOST_TEST(Result->Response->Head.Status == 200);
+  FreshServer.close();
+}
+
 BOOST_AUTO_TEST_SUITE(BeginsNoMorePrograms)
 
 BOOST_AUTO_TEST_CASE(WhileThoseUnderWayNeedTheRest) {
