Make second attempts only where a new attempt would mostly answer first

A second attempt is now due at the shortest time beyond that quantile after which half of the longer answers take at least as long again as three quarters of new attempts; if there is none, after the longest recent answer. HedgingTest has a case for each; HedgingTest and RelaySecondAttempts pass.

--- a/packages/relay/include/tamarack/relay/Hedging.h
+++ b/packages/relay/include/tamarack/relay/Hedging.h
@@ -9,8 +9,11 @@
 ///     Hedges.onSent(Service, Now);
 ///
 /// A second attempt is due once the first one has taken longer than most
-/// attempts of its service and route lately. The operators limit them to a part
-/// of the service's requests. Each entry keeps to that part of its own
+/// attempts of its service and route lately, and those that took so long would
+/// mostly have taken longer still than a new attempt does. If all answers come
+/// within a short time of each other, as when the request says how long it
+/// takes, that is only after the longest of them. The operators limit them to a
+/// part of the service's requests. Each entry keeps to that part of its own
 /// requests, so all entries together keep to it.
 #ifndef TAMARACK_RELAY_HEDGING_H
 #define TAMARACK_RELAY_HEDGING_H
@@ -39,6 +42,11 @@
   /// The duration that the part \p Part of them does not exceed, rounded up by
   /// an eighth at most; empty if there are none.
   std::optional<Duration> quantile(double Part, TimePoint Now) const;
+  /// The shortest time that the part \p Part of them does not exceed and after
+  /// which half of the longer ones take at least \p Rest more; the longest of
+  /// them if there is no such time, and empty if there are none.
+  std::optional<Duration> patience(double Part, Duration Rest,
+                                   TimePoint Now) const;
 
 private:
   /// From about 0.25 ms to two minutes, eight to each doubling.
@@ -58,6 +66,7 @@
   /// only those of the current one.
   bool includesPrevious(TimePoint Now) const;
   bool isOutdated(TimePoint Now) const;
+  std::uint32_t countIn(std::size_t Bucket, TimePoint Now) const;
 
   Histogram Previous;
   Histogram Current;
--- a/packages/relay/src/Hedging.cpp
+++ b/packages/relay/src/Hedging.cpp
@@ -11,6 +11,9 @@
 /// A second attempt is due once the first has taken longer than this part of
 /// the attempts.
 constexpr double SlowQuantile = 0.95;
+/// A new attempt is taken to last as long as this part of the attempts at most,
+/// so that it would mostly answer first.
+constexpr double NewAttemptQuantile = 0.75;
 /// With fewer answers the quantile would be that of the slowest one.
 constexpr std::uint32_t MinAnswers = 20;
 /// No second attempts are sent while more of a service's slots are taken, since
@@ -69,16 +72,40 @@
   if (Total == 0)
     return std::nullopt;
   const auto Wanted = static_cast<std::uint32_t>(std::ceil(Part * Total));
-  const bool WithPrevious = includesPrevious(Now);
   std::uint32_t Seen = 0;
-  for (std::size_t Bucket = 0; Bucket < BucketCount; ++Bucket) {
-    Seen += Current.Buckets[Bucket];
-    if (WithPrevious)
-      Seen += Previous.Buckets[Bucket];
-    if (Seen >= Wanted)
+  std::size_t Bucket = 0;
+  while (Seen += countIn(Bucket, Now), Seen < Wanted)
+    ++Bucket;
+  return upperBound(Bucket);
+}
+
+std::optional<Duration> RecentDurations::patience(double Part, Duration Rest,
+                                                  TimePoint Now) const {
+  const std::uint32_t Total = count(Now);
+  if (Total == 0)
+    return std::nullopt;
+  const auto Wanted = static_cast<std::uint32_t>(std::ceil(Part * Total));
+  std::uint32_t Seen = 0;
+  // The bucket of the median of those that are longer, and the durations in the
+  // buckets before it.
+  std::size_t Median = 0;
+  std::uint32_t BeforeMedian = 0;
+  std::size_t Bucket = 0;
+  while (Seen += countIn(Bucket, Now), Seen < Total) {
+    const std::uint32_t Longer = Total - Seen;
+    while (BeforeMedian + countIn(Median, Now) <= Seen + (Longer - 1) / 2)
+      BeforeMedian += countIn(Median++, Now);
+    if (Seen >= Wanted && upperBound(Median - 1) >= upperBound(Bucket) + Rest)
       return upperBound(Bucket);
+    ++Bucket;
   }
-  return upperBound(BucketCount - 1);
+  return upperBound(Bucket);
+}
+
+std::uint32_t RecentDurations::countIn(std::size_t Bucket,
+                                       TimePoint Now) const {
+  return Current.Buckets[Bucket] +
+         (includesPrevious(Now) ? Previous.Buckets[Bucket] : 0);
 }
 
 HedgingWindow::Slot &HedgingWindow::slot(TimePoint Now) {
@@ -151,7 +178,9 @@
   const auto Known = Answers.find({Service, Route});
   if (Known == Answers.end() || Known->second.count(Now) < MinAnswers)
     return std::nullopt;
-  return Known->second.quantile(SlowQuantile, Now);
+  const RecentDurations &Durations = Known->second;
+  return Durations.patience(SlowQuantile,
+                            *Durations.quantile(NewAttemptQuantile, Now), Now);
 }
 
 std::optional<HedgingRefusal> Hedging::refusal(const HedgingFacts &Facts,
--- a/packages/relay/test/HedgingTest.cpp
+++ b/packages/relay/test/HedgingTest.cpp
@@ -21,6 +21,13 @@
       Hedges.onAnswer(App, "r", Number % 10 == 0 ? 200ms : 20ms, Start);
     }
   }
+  /// The delay after answers that took \p Millis each.
+  static Duration delayAfter(const std::vector<int> &Millis) {
+    Hedging Hedges(0.05);
+    for (const int Each : Millis)
+      Hedges.onAnswer(App, "r", std::chrono::milliseconds(Each), Start);
+    return *Hedges.delay(App, "r", Start);
+  }
   /// A request that has taken long and may get a second attempt.
   static HedgingFacts slowRequest() {
     HedgingFacts Result;
@@ -96,6 +103,22 @@
   BOOST_TEST(!Hedges.delay(ServiceId("another"), "r", Start));
 }
 
+BOOST_AUTO_TEST_CASE(AfterMostAnswersIfTheFewSlowOnesTakeMuchLonger) {
+  std::vector<int> Millis(96, 20);
+  Millis.insert(Millis.end(), {400, 500, 600, 700});
+  const Duration Delay = delayAfter(Millis);
+  BOOST_TEST((Delay >= 20ms && Delay < 23ms));
+}
+
+/// Guards against second attempts that end after the first one, as those that
+/// take longer than most have nearly ended.
+BOOST_AUTO_TEST_CASE(AfterAllAnswersIfNoneTakesMuchLonger) {
+  std::vector<int> Millis;
+  for (int Number = 0; Number < 100; ++Number)
+    Millis.push_back(10 + Number);
+  BOOST_TEST((delayAfter(Millis) >= 109ms));
+}
+
 BOOST_AUTO_TEST_CASE(LaterWhileTheWholeServiceIsSlower) {
   for (int Number = 0; Number < 100; ++Number)
     Hedges.onAnswer(App, "r", 400ms, Start + 1s);
