--- a/packages/relay/test/HedgingTest.cpp
+++ b/packages/relay/test/HedgingTest.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <functional>
+#include <numeric>
 
 using namespace tamarack;
 using namespace std::chrono_literals;
@@ -113,9 +114,8 @@
 /// Guards against second attempts that end after the first one, as those that
 /// take longer than most have nearly ended.
 BOOST_AUTO_TEST_CASE(AfterAllAnswersIfNoneTakesMuchLonger) {
-  std::vector<int> Millis;
-  for (int Number = 0; Number < 100; ++Number)
-    Millis.push_back(10 + Number);
+  std::vector<int> Millis(100);
+  std::iota(Millis.begin(), Millis.end(), 10);
   BOOST_TEST((delayAfter(Millis) >= 109ms));
 }
 
