Refuse broken answers and invalid statuses of services in the daemon

What the socket throws while a body is read only marks the stream as bad, so the part of an answer without length, or in chunks, whose connection was reset was taken for the whole; and any number of three digits passed as the status.

Left: Poco takes chunks that a plain end of the connection cuts for complete.

--- a/packages/daemon/src/HttpCall.cpp
+++ b/packages/daemon/src/HttpCall.cpp
@@ -31,6 +31,17 @@
   Session.sendRequest(Head) << Request.Body << std::flush;
 }
 
+/// Reads the head of the answer. Throws if its status is none that may end an
+/// exchange (RFC 9110, section 15).
+std::istream &receive(Poco::Net::HTTPClientSession &Session,
+                      Poco::Net::HTTPResponse &Head) {
+  std::istream &Body = Session.receiveResponse(Head);
+  const int Status = Head.getStatus();
+  if (Status < 200 || Status >= 600)
+    throw Poco::Net::MessageException("the status of the answer is invalid");
+  return Body;
+}
+
 Error errorOf(const Poco::Exception &Thrown, const Address &To, bool Sent) {
   const bool Late =
       dynamic_cast<const Poco::TimeoutException *>(&Thrown) != nullptr;
@@ -75,9 +86,12 @@
         send(Session, Request);
         Poco::Net::HTTPResponse Head;
         HttpAnswer Answer;
-        std::istream &Body = Session.receiveResponse(Head);
+        std::istream &Body = receive(Session, Head);
         Answer.Status = Head.getStatus();
         Poco::StreamCopier::copyToString(Body, Answer.Body);
+        // The stream catches what the socket throws.
+        if (Body.bad())
+          throw Poco::Net::NetException("the answer was broken off");
         const auto Length = Head.getContentLength();
         if (Length >= 0 &&
             static_cast<std::size_t>(Length) > Answer.Body.size())
@@ -93,7 +107,7 @@
       To, Silence, [&](Poco::Net::HTTPClientSession &Session) {
         send(Session, Request);
         Poco::Net::HTTPResponse Head;
-        std::istream &Body = Session.receiveResponse(Head);
+        std::istream &Body = receive(Session, Head);
         StreamEnd End;
         End.Status = Head.getStatus();
         if (Head.getContentType().rfind("text/event-stream", 0) != 0) {
