--- a/packages/relay/test/TruncatedAnswersTest.cpp
+++ b/packages/relay/test/TruncatedAnswersTest.cpp
@@ -345,14 +345,23 @@
     "OK",     "+200 OK", "-1 OK",  "+20 OK",  "-20 OK",  " 200 OK",
     "  OK",   "",        "2 0 OK", "0x0 OK",  "20\t OK", "200.0 OK"};
 
+/// A signed head without framing.
+std::string headWithStatus(const std::string &Status) {
+  return "HTTP/1.1 " + Status + "\r\n" + SignedFields + "\r\n";
+}
+
+/// A head without any field.
+std::string bareHead(const std::string &Status) {
+  return "HTTP/1.1 " + Status + "\r\n\r\n";
+}
+
 BOOST_AUTO_TEST_CASE(AreNoAnswer) {
   for (const std::string &Status : InvalidStatuses) {
     BOOST_TEST_CONTEXT("status " << Status) {
       const TimePoint SentAt = steadyNow();
       checkIsNotAnswered({signedResponse("done", "", Status)});
       checkIsNotAnswered({signedResponse("", "", Status)});
-      checkIsNotAnswered(
-          closing("HTTP/1.1 " + Status + "\r\n" + SignedFields + "\r\ndone"));
+      checkIsNotAnswered(closing(headWithStatus(Status) + "done"));
       // Long before the deadlines of 2 s.
       BOOST_TEST((steadyNow() - SentAt < Duration(1s)));
     }
@@ -378,8 +387,7 @@
 
 BOOST_AUTO_TEST_CASE(DoNotPrecedeAnAnswer) {
   for (const std::string &Status : InvalidStatuses)
-    checkIsNotAnswered(
-        {"HTTP/1.1 " + Status + "\r\n\r\n" + signedResponse("done")});
+    checkIsNotAnswered({bareHead(Status) + signedResponse("done")});
 }
 
 BOOST_AUTO_TEST_CASE(ProveNothingAboutTheRequest) {
