Compare the lower bound of the median's bucket

The linter could not see that the bucket before the median's exists. The value is the same. HedgingTest passes and lint of Hedging.cpp is clean; the whole relay_test was not built again after this commit.

--- a/packages/relay/include/tamarack/relay/Hedging.h
+++ b/packages/relay/include/tamarack/relay/Hedging.h
@@ -61,7 +61,10 @@
   };
 
   static std::size_t bucketOf(Duration Value);
-  static Duration upperBound(std::size_t Bucket);
+  static Duration lowerBound(std::size_t Bucket);
+  static Duration upperBound(std::size_t Bucket) {
+    return lowerBound(Bucket + 1);
+  }
   /// Whether the counts of both periods are of the last one to two periods, or
   /// only those of the current one.
   bool includesPrevious(TimePoint Now) const;
--- a/packages/relay/src/Hedging.cpp
+++ b/packages/relay/src/Hedging.cpp
@@ -34,10 +34,10 @@
   return ((Exponent - MinExponent) << StepBits) + Step;
 }
 
-Duration RecentDurations::upperBound(std::size_t Bucket) {
+Duration RecentDurations::lowerBound(std::size_t Bucket) {
   const std::size_t Exponent = MinExponent + (Bucket >> StepBits);
   const std::uint64_t Step = Bucket % (std::uint64_t(1) << StepBits);
-  const std::uint64_t Micros = ((std::uint64_t(1) << StepBits) + Step + 1)
+  const std::uint64_t Micros = ((std::uint64_t(1) << StepBits) + Step)
                                << (Exponent - StepBits);
   return std::chrono::microseconds(Micros);
 }
@@ -95,7 +95,7 @@
     const std::uint32_t Longer = Total - Seen;
     while (BeforeMedian + countIn(Median, Now) <= Seen + (Longer - 1) / 2)
       BeforeMedian += countIn(Median++, Now);
-    if (Seen >= Wanted && upperBound(Median - 1) >= upperBound(Bucket) + Rest)
+    if (Seen >= Wanted && lowerBound(Median) >= upperBound(Bucket) + Rest)
       return upperBound(Bucket);
     ++Bucket;
   }
