--- a/packages/relay/include/tamarack/relay/Explanation.h
+++ b/packages/relay/include/tamarack/relay/Explanation.h
@@ -42,9 +42,10 @@
   /// As configured; zero if not limited.
   double RequestsPerSecond = 0;
   double Burst = 0;
-  /// The requests of this entry and of the others that count towards it.
-  double Sent = 0;
-  double SentElsewhere = 0;
+  /// The requests that the limit allows in its window, and those that are known
+  /// of all entries.
+  double Allowed = 0;
+  double Used = 0;
 
   friend bool operator==(const WorkspaceAllowance &,
                          const WorkspaceAllowance &) = default;
--- a/packages/relay/src/Explain.cpp
+++ b/packages/relay/src/Explain.cpp
@@ -52,6 +52,24 @@
     RefuseWith(*Failure);
     return Result;
   }
+  const Workspace *Owner = Inner->Workspaces.findByName(Result.Workspace);
+  if (Owner != nullptr && hasLimit(*Owner)) {
+    Result.Allowance = {Owner->RequestsPerSecond, Owner->Burst,
+                        Inner->Limits.limit(*Owner),
+                        Inner->Limits.used(Owner->Name, Now)};
+    const bool IsFirst =
+        Found->Kind == RequestKind::Stream && Request.LastEndpoint.empty();
+    const ProgramPhase Phase =
+        IsFirst ? ProgramPhase::FirstTurn : ProgramPhase::UnderWay;
+    if (!Inner->Limits.admits(*Owner, Phase, Now)) {
+      Result.RetryAfter = Inner->Limits.delay(*Owner, Phase, Now);
+      RefuseWith({ErrorKind::RateLimited,
+                  "the workspace is at its limit",
+                  NotRun::Proved,
+                  {}});
+      return Result;
+    }
+  }
   EndpointQuery Query{
       Result.Service, {}, Request.Prompt, Request.LastEndpoint, {}};
   if (Found->Kind == RequestKind::Stream)
--- a/packages/relay/src/Explanation.cpp
+++ b/packages/relay/src/Explanation.cpp
@@ -128,8 +128,8 @@
   if (From.Allowance)
     Allowance = {{"requests_per_second", From.Allowance->RequestsPerSecond},
                  {"burst", From.Allowance->Burst},
-                 {"sent", From.Allowance->Sent},
-                 {"sent_elsewhere", From.Allowance->SentElsewhere}};
+                 {"allowed", From.Allowance->Allowed},
+                 {"used", From.Allowance->Used}};
   Value = {{"catalog_version", From.CatalogVersion},
            {"catalog_age_ms", millisOrNull(From.CatalogAge)},
            {"news_age_ms", millisOrNull(From.NewsAge)},
@@ -162,11 +162,11 @@
   appendPair(Out, "workspace", Explained.at("workspace").get<std::string>());
   if (const Json &Allowance = Explained.at("allowance"); !Allowance.is_null()) {
     std::string Text;
-    appendFormatted(
-        Text, "%.1f a second, burst %.0f; sent %.0f here, %.0f elsewhere",
-        Allowance.at("requests_per_second").get<double>(),
-        Allowance.at("burst").get<double>(), Allowance.at("sent").get<double>(),
-        Allowance.at("sent_elsewhere").get<double>());
+    appendFormatted(Text, "%.1f a second, burst %.0f; %.0f of %.0f used",
+                    Allowance.at("requests_per_second").get<double>(),
+                    Allowance.at("burst").get<double>(),
+                    Allowance.at("used").get<double>(),
+                    Allowance.at("allowed").get<double>());
     appendPair(Out, "limit", Text);
   }
   appendPair(
--- a/packages/relay/test/ExplanationTest.cpp
+++ b/packages/relay/test/ExplanationTest.cpp
@@ -27,7 +27,7 @@
   Result.Route = "chat";
   Result.Service = ServiceId("engines");
   Result.Workspace = WorkspaceId("desk");
-  Result.Allowance = {{20, 40, 11, 30}};
+  Result.Allowance = {{20, 40, 140, 41}};
   Result.ReachesLedgers = true;
   Result.Endpoints = {candidate("e-1", 12.5), candidate("e-2", 80)};
   return Result;
@@ -76,9 +76,8 @@
   BOOST_TEST(Encoded.at("endpoints")[1].at("cost").at("total_ms") == 80.0);
   const std::string Table = renderTable(Encoded);
   BOOST_TEST(Table.find("sent to e-1") != std::string::npos);
-  BOOST_TEST(
-      Table.find("20.0 a second, burst 40; sent 11 here, 30 elsewhere") !=
-      std::string::npos);
+  BOOST_TEST(Table.find("20.0 a second, burst 40; 41 of 140 used") !=
+             std::string::npos);
   BOOST_TEST(Table.find("7/16") != std::string::npos);
 }
 
@@ -145,6 +144,13 @@
 BOOST_AUTO_TEST_CASE(SaysWhyARequestWouldBeRefused) {
   BOOST_TEST((explain("/none/x").Refusal == ErrorKind::UnknownService));
   BOOST_TEST((explain("/safe/x", "nobody").Refusal == ErrorKind::Unauthorized));
+  BOOST_TEST(!explain("/safe/x").Allowance);
+  Routes.Workspaces->front().RequestsPerSecond = 0.1;
+  ++Routes.Version;
+  RequestRelay.setCatalog(Routes);
+  const Explanation Limited = explain("/safe/x");
+  BOOST_REQUIRE(Limited.Allowance);
+  BOOST_TEST(Limited.Allowance->Used == 0);
   RequestRelay.setEndpoints({});
   const Explanation Full = explain("/safe/x");
   BOOST_TEST((Full.Refusal == ErrorKind::Overloaded));
