--- a/packages/relay/test/ExplanationTest.cpp
+++ b/packages/relay/test/ExplanationTest.cpp
@@ -109,6 +109,11 @@
     ++Routes.Version;
     RequestRelay.setCatalog(Routes);
   }
+  void limitTo(double RequestsPerSecond) {
+    Routes.Workspaces->front().RequestsPerSecond = RequestsPerSecond;
+    ++Routes.Version;
+    RequestRelay.setCatalog(Routes);
+  }
   Explanation explain(const std::string &Target,
                       const std::string &Workspace = "acme") const {
     return RequestRelay.explain({Routes.Routes.front().Host,
@@ -144,17 +149,23 @@
 BOOST_AUTO_TEST_CASE(SaysWhyARequestWouldBeRefused) {
   BOOST_TEST((explain("/none/x").Refusal == ErrorKind::UnknownService));
   BOOST_TEST((explain("/safe/x", "nobody").Refusal == ErrorKind::Unauthorized));
-  BOOST_TEST(!explain("/safe/x").Allowance);
-  Routes.Workspaces->front().RequestsPerSecond = 0.1;
-  ++Routes.Version;
-  RequestRelay.setCatalog(Routes);
-  const Explanation Limited = explain("/safe/x");
-  BOOST_REQUIRE(Limited.Allowance);
-  BOOST_TEST(Limited.Allowance->Used == 0);
   RequestRelay.setEndpoints({});
   const Explanation Full = explain("/safe/x");
   BOOST_TEST((Full.Refusal == ErrorKind::Overloaded));
   BOOST_TEST(Full.RefusalReason == "no endpoint is available");
 }
 
+BOOST_AUTO_TEST_CASE(ShowsTheLimitOfTheWorkspace) {
+  BOOST_TEST(!explain("/safe/x").Allowance);
+  limitTo(100);
+  const Explanation Within = explain("/safe/x");
+  BOOST_TEST(!Within.Refusal);
+  BOOST_REQUIRE(Within.Allowance);
+  BOOST_TEST(Within.Allowance->Used == 0);
+  limitTo(0.01);
+  const Explanation Beyond = explain("/safe/x");
+  BOOST_TEST((Beyond.Refusal == ErrorKind::RateLimited));
+  BOOST_TEST(Beyond.RetryAfter.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
