--- a/review/standins-2/InPlaceOrderCase.cc
+++ b/review/standins-2/InPlaceOrderCase.cc
@@ -4,13 +4,15 @@
 /// streams up again at the others.
 #include "Trial.hpp"
 
+#include <algorithm>
+
 namespace tamarack::review {
 namespace {
 
 constexpr unsigned Replicas = 6;
 /// At least two replicas of the first version serve all the while.
 constexpr unsigned Replacements = 4;
-constexpr unsigned Programs = 36;
+constexpr unsigned Programs = 60;
 /// Each program has some short turns before each long one.
 constexpr int EarlierTurns = 3;
 /// How long a replica is down.
@@ -83,6 +85,9 @@
 
 Task<int> run(Trial &Run) {
   Tally Counts;
+  std::set<Engine *> Old;
+  for (const auto &Each : Run.Engines)
+    Old.insert(Each.get());
   for (unsigned Round = 0; Round < Replacements; ++Round) {
     const int Needed = static_cast<int>((Round + 1) * Programs);
     for (unsigned Index = 0; Index < Programs; ++Index)
@@ -90,10 +95,14 @@
     co_await awaitCount(Run, Counts.Prepared, Needed);
     co_await pause(Run.Io, std::chrono::milliseconds(700));
     if (Run.HasTrouble) {
-      Engine &Replaced = *Run.Engines[Round];
-      Replaced.crash();
+      Engine *const Replaced = *std::max_element(
+          Old.begin(), Old.end(), [](const Engine *Left, const Engine *Right) {
+            return Left->running() < Right->running();
+          });
+      Old.erase(Replaced);
+      Replaced->crash();
       co_await pause(Run.Io, DownTime);
-      Replaced.start(Replaced.id(), "v2");
+      Replaced->start(Replaced->id(), "v2");
     }
     co_await awaitCount(Run, Counts.Ended, Needed);
     co_await pause(Run.Io, std::chrono::seconds(2));
--- a/review/standins-2/RackCrashCase.cc
+++ b/review/standins-2/RackCrashCase.cc
@@ -37,13 +37,14 @@
   co_return Answer.Status == 200 && Answer.Complete ? Id : std::string();
 }
 
-/// Sends the turn up to three times, as the programs do.
-Task<void> commonTurn(Trial &Run, std::string Program, std::string Previous,
-                      unsigned Entry, Tally &Counts) {
+/// Sends the turn of one line of the program up to three times, as programs do.
+Task<void> commonTurn(Trial &Run, std::string Program, unsigned Line,
+                      std::string Previous, unsigned Entry, Tally &Counts) {
   for (int Try = 0; Try < 3; ++Try) {
     Call Request = Run.turn(Program, CommonInput);
     Request.Id = Run.newId("next");
     Request.Fields["X-Previous-Turn"] = Previous;
+    Request.Fields["X-Session-Id"] = Program + "-" + std::to_string(Line);
     const std::string Id = Request.Id;
     const Reply Answer = co_await Run.send(Entry, std::move(Request));
     ++Counts.Tries;
@@ -123,7 +124,8 @@
     Counts.FirstTurnsReached += Id.empty() ? 0 : 1;
     // Two sub-agents of one program, which has a whole turn.
     if (Index == 3 || Index == 6) {
-      co_await commonTurn(Run, "q", Kept, Index % Run.Options.Entries, Counts);
+      co_await commonTurn(Run, "q", Index, Kept, Index % Run.Options.Entries,
+                          Counts);
     }
   }
   Run.Log.line(
