--- a/review/standins-2/InPlaceCase.cc
+++ b/review/standins-2/InPlaceCase.cc
@@ -1,4 +1,4 @@
-/// One replica of five has a new software version already. Another one ends
+/// One replica of seven has a new software version already. Another one ends
 /// while it runs streams and starts again in place: under the id that it had,
 /// with the new version. Three replicas of the old version serve on. The
 /// callers take their streams up again.
@@ -12,7 +12,7 @@
 namespace tamarack::review {
 namespace {
 
-constexpr unsigned Programs = 80;
+constexpr unsigned Programs = 112;
 constexpr unsigned NewPrograms = 16;
 /// How long the replica is down.
 constexpr Duration DownTime = std::chrono::milliseconds(500);
@@ -138,7 +138,7 @@
   tamarack::review::TrialOptions Options;
   Options.Retained = false;
   Options.Resumable = true;
-  Options.Engines = 5;
+  Options.Engines = 7;
   Options.NewerEngines = 1;
   Options.Slots = 32;
   Options.EventsPerTurn = 20;
--- a/review/standins-2/InPlaceOrderCase.cc
+++ b/review/standins-2/InPlaceOrderCase.cc
@@ -9,10 +9,10 @@
 namespace tamarack::review {
 namespace {
 
-constexpr unsigned Replicas = 6;
+constexpr unsigned Replicas = 7;
 /// At least two replicas of the first version serve all the while.
 constexpr unsigned Replacements = 4;
-constexpr unsigned Programs = 60;
+constexpr unsigned Programs = 70;
 /// Each program has some short turns before each long one.
 constexpr int EarlierTurns = 3;
 /// How long a replica is down.
