Log how a fetch of records ends, from how many holders a ledger joins, and who was asked for an unknown turn

Nothing told the hypotheses of the incident apart: ledger.change_view reason=joined did not say from how many record holders, a fetch had no end, bytes or calls, and a 404 for a turn not which view and members it relied on.

ledger.fetched (from, records, bytes, calls, took_ms), ledger.joining (fetched, holders, places) and ledgers.turn_unknown (view, asked, members).

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -245,6 +245,13 @@
   const bool Fetched = co_await fetchFromSources(Before);
   bool Done = false;
   if (Fetched && Before.Number == CurrentView.Number) {
+    LogLine("ledger.joining")
+        .with("view", Before.Number)
+        .with("fetched", FetchedFrom.size())
+        .with("holders", recordHolders(Before).size())
+        .with("places", Before.Members.size())
+        .with("turns", Store.storedTurnCount())
+        .with("programs", Store.programCount());
     View Next = withMemberJoined(Before, Log->folderId());
     std::string Reason = "joined";
     Done = co_await replaceView(Before, std::move(Next), std::move(Reason));
@@ -344,6 +351,7 @@
 }
 
 Task<bool> LedgerNode::Impl::fetchFromMember(RecordSource Source, View Of) {
+  const TimePoint BegunAt = steadyNow();
   const auto Link = linkTo(Source.Address);
   const Expected<Json> Listed = co_await callLink(
       Io, Link, calls::ListRecords, encodeBody(Of), steadyNow() + CallTimeout);
@@ -370,7 +378,8 @@
   LogLine("ledger.fetch")
       .with("from", Source.Address)
       .with("named", Answer->Records.size())
-      .with("lacking", Lacking.size());
+      .with("lacking", Lacking.size())
+      .with("took_ms", steadyNow() - BegunAt);
   const auto Work = std::make_shared<FetchWork>(Io, std::move(Lacking));
   for (std::size_t Worker = 0; Worker < MaxConcurrentCalls; ++Worker) {
     ++Work->RunningWorkers;
@@ -378,10 +387,14 @@
   }
   while (Work->RunningWorkers > 0)
     co_await Work->Changed.wait(TimePoint::max());
-  if (Work->Failed) {
-    LogLine("ledger.fetch_failed").with("from", Source.Address);
+  LogLine(Work->Failed ? "ledger.fetch_failed" : "ledger.fetched")
+      .with("from", Source.Address)
+      .with("records", Work->Records)
+      .with("bytes", Work->Bytes)
+      .with("calls", Work->Calls)
+      .with("took_ms", steadyNow() - BegunAt);
+  if (Work->Failed)
     co_return false;
-  }
   // Writes are ordered: once this one is on disk, so are all fetched records.
   const auto Synced = std::make_shared<std::optional<bool>>();
   adopt(Of, [Synced](const Expected<FrameLocation> &Done) {
@@ -424,11 +437,16 @@
       const LinkBody Request = encodeBody(FetchTurnsRequest{Part, true});
       const Expected<Json> Fetched = co_await callLink(
           Io, From, calls::FetchTurns, Request, steadyNow() + CallTimeout);
+      ++Work->Calls;
       const std::size_t Asked = Part.size();
       auto Reply = parseReply<FetchTurnsResponse>(Fetched, calls::FetchTurns,
                                                   From->address());
-      if (Reply)
+      if (Reply) {
+        Work->Records += Reply->Frames.size();
+        for (const std::string &Frame : Reply->Frames)
+          Work->Bytes += Frame.size();
         Part = storeFetched(std::move(*Reply), Part);
+      }
       Work->Failed = Work->Failed || Part.size() == Asked;
     }
   }
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -23,6 +23,10 @@
   std::size_t Next = 0;
   std::size_t RunningWorkers = 0;
   bool Failed = false;
+  /// What the calls so far brought.
+  std::size_t Calls = 0;
+  std::size_t Records = 0;
+  std::size_t Bytes = 0;
   Signal Changed;
 };
 
--- a/packages/quorum/src/QuorumClient.cpp
+++ b/packages/quorum/src/QuorumClient.cpp
@@ -651,9 +651,15 @@
     if (!State->Found.empty())
       co_return State->Found;
     if (State->NotFound == Members.size() && Number == Self->Current.Number &&
-        Members.size() >= Self->copiesNeeded())
+        Members.size() >= Self->copiesNeeded()) {
+      LogLine("ledgers.turn_unknown")
+          .with("turn", Turn)
+          .with("view", Number)
+          .with("asked", Members.size())
+          .with("members", Self->Current.Members.size());
       co_return refuse(ErrorKind::UnknownProgram, "no such turn",
                        NotRun::Proved);
+    }
     co_await pause(Self->Io, RetryInterval);
   }
   co_return refuse(ErrorKind::NotEnoughCopies,
