Do not take the answers of an empty ledger for those of the one that was there

Cause: a source listed its records under its folder, lost its disk while it was fetched from, and came back empty at its address. The link resends what was not answered; the empty ledger has none of these turns, and turns that are not in a reply count as unknown to the source. So the successor joined without them, as if it had all. It needs one disk only, and a moment within a fetch.

After it has fetched, a ledger asks who is at the address. Identities of folders do not come back, so all replies before were those of that folder too. No message changes.

Test: quorum ThatFetchesDoesNotRelyOnAnEmptyLedgerAtTheAddress; on the ledger joins with 1 of 2 turns.

--- a/packages/quorum/src/LedgerFetch.cpp
+++ b/packages/quorum/src/LedgerFetch.cpp
@@ -35,6 +35,18 @@
   }
 }
 
+/// Returns whether the ledger that answered at the address of \p Source has its
+/// folder, and logs if not.
+bool isExpectedFolder(const RecordSource &Source, const FolderId &Answered) {
+  if (Answered == Source.Folder)
+    return true;
+  LogLine("ledger.other_folder")
+      .with("address", Source.Address)
+      .with("expected", Source.Folder)
+      .with("answered", Answered);
+  return false;
+}
+
 } // namespace
 
 std::vector<RecordHolder> LedgerNode::Impl::otherHolders(const View &Of) const {
@@ -178,13 +190,8 @@
     adopt(*Answer->NewerView, nullptr);
   if (Answer->Refusal != LedgerRefusal::None || Answer->NewerView)
     co_return std::nullopt;
-  if (Answer->Folder != Source.Folder) {
-    LogLine("ledger.other_folder")
-        .with("address", Source.Address)
-        .with("expected", Source.Folder)
-        .with("answered", Answer->Folder);
+  if (!isExpectedFolder(Source, Answer->Folder))
     co_return std::nullopt;
-  }
   LogLine("ledger.listed")
       .with("from", Source.Address)
       .with("records", Answer->Records.size())
@@ -258,6 +265,12 @@
   // Accounts first: they are small, and no program may draw without them.
   co_await fetchTurns(Link, std::move(Share.Records), true, Work);
   co_await fetchTurns(Link, std::move(Share.Texts), false, Work);
+  // What it did not reply with counts as unknown, so it must be the ledger that
+  // listed it: one that has lost its disk meanwhile knows nothing.
+  if (!Work->Failed) {
+    const bool IsSame = co_await hasFolder(Source);
+    Work->Failed = !IsSame;
+  }
   LogLine(Work->Failed ? "ledger.fetch_failed" : "ledger.fetched")
       .with("from", Address)
       .with("records", Work->Records)
@@ -268,6 +281,15 @@
   Work->Changed.raise();
 }
 
+Task<bool> LedgerNode::Impl::hasFolder(RecordSource Source) {
+  const Expected<Json> Reply =
+      co_await callLink(Io, linkTo(Source.Address), calls::Ping,
+                        encodeBody(nullptr), steadyNow() + CallTimeout);
+  const auto Answer =
+      parseReply<PingResponse>(Reply, calls::Ping, Source.Address);
+  co_return Answer &&isExpectedFolder(Source, Answer->Folder);
+}
+
 Task<void> LedgerNode::Impl::fetchTurns(std::shared_ptr<LinkClient> From,
                                         std::vector<TurnId> Turns,
                                         bool WithoutTexts,
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -244,6 +244,8 @@
                                        std::vector<FetchShare> Shares);
   Task<void> fetchShare(RecordSource Source, FetchShare Share,
                         std::shared_ptr<FetchWork> Work);
+  /// Asks which ledger is at the address of \p Source.
+  Task<bool> hasFolder(RecordSource Source);
   Task<void> fetchTurns(std::shared_ptr<LinkClient> From,
                         std::vector<TurnId> Turns, bool WithoutTexts,
                         std::shared_ptr<FetchWork> Work);
--- a/packages/quorum/test/LedgerMalformedReplyTest.cpp
+++ b/packages/quorum/test/LedgerMalformedReplyTest.cpp
@@ -132,6 +132,27 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against whole turns that are answered 404: a source loses its disk
+// while it is fetched from, and the empty ledger that follows at its address
+// says that it has none of the turns.
+BOOST_FIXTURE_TEST_CASE(ThatFetchesDoesNotRelyOnAnEmptyLedgerAtTheAddress,
+                        Fixture) {
+  StandIn->MalformedReplies[calls::ListRecords] = Json("malformed");
+  start(1);
+  until([this] { return Nodes[1]->status().Turns == 1U; });
+  StandIn->MalformedReplies = {
+      {calls::FetchTurns, framesOf({})},
+      {calls::Ping,
+       Json(PingResponse{FolderId("empty"), Views.Current.Number})}};
+  StandIn->Calls.clear();
+  until([this] { return StandIn->Calls[calls::FetchTurns] > 0; });
+  Io.run_for(1s);
+  BOOST_TEST(!Nodes[1]->status().IsJoined);
+  StandIn->MalformedReplies.clear();
+  until([this] { return Nodes[1]->status().IsJoined; });
+  BOOST_TEST(Nodes[1]->status().Turns == 2U);
+}
+
 BOOST_FIXTURE_TEST_CASE(ThatRetiresAsksAgainAfterAMalformedReply, Fixture) {
   // A ledger begins to leave only while two others answer.
   start(1);
