Say in the view since when its members may lack records

Callers: after more disks are lost than the deployment tolerates, or sooner than a successor has fetched, turns that were answered whole are 404: no such turn. If two of three ledgers come back with empty disks, nothing is served any more.

Cause: requiredSources() counts the record holders that are left, so each folder that is known to be lost lowers what a ledger must fetch, and it joins like one that has all records. Entries take 'not found' at all joined members for 'never was'. A ledger with an empty disk took its place only while enough others could be fetched from, so that two of them waited for each other's lost folders.

The view says since when records may be missing. A turn that is not found is 503 then. A joined member takes the mark away once all that may be missing has expired, by its own clock. A ledger whose folder is lost takes its place at once. Views of earlier releases are read as complete, and these ignore the mark.

--- a/packages/quorum/include/tamarack/quorum/LedgerNode.h
+++ b/packages/quorum/include/tamarack/quorum/LedgerNode.h
@@ -56,6 +56,9 @@
   /// The default is a fifth of the smallest disk (470 MB), or two minutes of
   /// traffic on a busy day.
   std::uint64_t CompactAfterBytes = 96U << 20U;
+  /// How long at least the members count as incomplete after records were lost.
+  /// Longer than accounts are kept.
+  Duration IncompletePeriod = std::chrono::minutes(4);
   /// Smaller is nearer; records are fetched from the nearest members first.
   std::function<int(const DataCentreId &)> Distance;
   LinkOptions Link;
--- a/packages/quorum/src/LedgerCalls.cpp
+++ b/packages/quorum/src/LedgerCalls.cpp
@@ -288,7 +288,8 @@
     LogLine("ledger.view")
         .with("number", Next.Number)
         .with("members", Next.Members.size())
-        .with("member", findMember(Next, Log->folderId()) != nullptr ? 1 : 0);
+        .with("member", findMember(Next, Log->folderId()) != nullptr ? 1 : 0)
+        .with("incomplete_since", Next.IncompleteSince);
     ViewChanged.raise();
   }
   // The view is written even if it did not change, so that Done runs after all
--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -103,6 +103,7 @@
     const ViewMember *Member = findMember(CurrentView, Log->folderId());
     if (Member != nullptr && (Member->Joined || Member->Leaving)) {
       co_await ViewChanged.wait(steadyNow() + ViewPollInterval);
+      co_await endIncompleteness();
       continue;
     }
     // A ledger on standby follows the view through its members, so that calls
@@ -222,15 +223,22 @@
   const bool Fetched = co_await fetchFromSources(Before);
   bool Done = false;
   if (Fetched && Before.Number == CurrentView.Number) {
+    const bool IsIncomplete =
+        hasLostRecords(Before, Options.DurableCopies);
     LogLine("ledger.joining")
         .with("view", Before.Number)
         .with("listed", Lists.size())
         .with("holders", recordHolders(Before).size())
         .with("places", Before.Members.size())
+        .with("incomplete", IsIncomplete ? 1 : 0)
         .with("turns", Store.storedTurnCount())
         .with("programs", Store.programCount());
     View Next = withMemberJoined(Before, Log->folderId());
     std::string Reason = "joined";
+    if (IsIncomplete) {
+      Next = withRecordsMissing(std::move(Next));
+      Reason = "joined without all records";
+    }
     Done = co_await replaceView(Before, std::move(Next), std::move(Reason));
   }
   if (!Done) {
@@ -238,6 +246,21 @@
   }
 }
 
+Task<void> LedgerNode::Impl::endIncompleteness() {
+  const View Before = CurrentView;
+  if (Before.IncompleteSince != KnownIncompleteSince) {
+    KnownIncompleteSince = Before.IncompleteSince;
+    IncompleteSeenAt = steadyNow();
+  }
+  if (Before.IncompleteSince == 0 || !isJoined(Before, Log->folderId()) ||
+      steadyNow() - IncompleteSeenAt <
+          std::max(Options.IncompletePeriod, Store.longestRetention()))
+    co_return;
+  View Next = withRecordsComplete(Before);
+  std::string Reason = "records that may be missing have expired";
+  co_await replaceView(Before, std::move(Next), std::move(Reason));
+}
+
 Task<bool> LedgerNode::Impl::replaceView(View Before, View Next,
                                          std::string Reason) {
   const Expected<bool> Done = co_await Views.replaceView(Before, Next);
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -118,6 +118,10 @@
   std::map<FolderId, std::vector<RecordSummary>> Lists;
   /// The holders of which it could not fetch all that it must.
   std::set<FolderId> FailedSources;
+  /// The mark of missing records in the current view, and since when this
+  /// process knows it.
+  std::uint64_t KnownIncompleteSince = 0;
+  TimePoint IncompleteSeenAt;
   /// Members that hold all records that this one had when it left the view.
   std::set<FolderId> CaughtUpMembers;
   /// The fetches on behalf of retiring members, by the folder of the member:
@@ -197,6 +201,9 @@
   Task<void> joinView();
   /// Fetches the records of other members, then marks this member as joined.
   Task<void> fetchRecordsAndJoin();
+  /// Takes the mark of missing records from the view once all of them would
+  /// have expired.
+  Task<void> endIncompleteness();
   Task<std::set<FolderId>> findUnreachableMembers();
   /// Replaces the view in the store and adopts it. Returns false if the store
   /// failed or held another view.
--- a/packages/quorum/src/QuorumClient.cpp
+++ b/packages/quorum/src/QuorumClient.cpp
@@ -656,7 +656,11 @@
           .with("turn", Turn)
           .with("view", Number)
           .with("asked", Members.size())
-          .with("members", Self->Current.Members.size());
+          .with("members", Self->Current.Members.size())
+          .with("incomplete_since", Self->Current.IncompleteSince);
+      if (Self->Current.IncompleteSince > 0)
+        co_return refuse(ErrorKind::NotEnoughCopies,
+                         "the ledgers may have lost the turn", NotRun::Proved);
       co_return refuse(ErrorKind::UnknownProgram, "no such turn",
                        NotRun::Proved);
     }
--- a/packages/quorum/test/QuorumFixture.h
+++ b/packages/quorum/test/QuorumFixture.h
@@ -57,6 +57,7 @@
                                   std::to_string(StartCount));
     Result.FirstStart = FirstStart;
     Result.CompactAfterBytes = CompactAfterBytes;
+    Result.IncompletePeriod = IncompletePeriod;
     Result.EndpointListAge = [this] { return LedgerListAge; };
     return Result;
   }
@@ -187,6 +188,7 @@
   /// How old the ledgers' lists of endpoints are.
   std::optional<Duration> LedgerListAge;
   std::uint64_t CompactAfterBytes = 96U << 20U;
+  Duration IncompletePeriod = LedgerOptions().IncompletePeriod;
 };
 
 } // namespace tamarack::testing
--- a/packages/turns/include/tamarack/turns/TurnStore.h
+++ b/packages/turns/include/tamarack/turns/TurnStore.h
@@ -219,6 +219,10 @@
   /// The same for no other texts and accounts than those of \p Names.
   void expire(TimePoint Now, const RecordNames &Names);
 
+  /// The longest retention of the turns that are kept, with the allowance for
+  /// clock skew.
+  Duration longestRetention() const;
+
   /// The number of turns with a text.
   std::size_t storedTurnCount() const;
   std::size_t programCount() const;
--- a/packages/turns/include/tamarack/turns/View.h
+++ b/packages/turns/include/tamarack/turns/View.h
@@ -73,6 +73,10 @@
   /// Zero before the first view is written.
   std::uint64_t Number = 0;
   std::vector<ViewMember> Members;
+  /// The number of the view since which the members may lack acknowledged
+  /// records, because more disks were lost than the copies allow for; zero if
+  /// they lack none. What no member has may have existed then.
+  std::uint64_t IncompleteSince = 0;
 
   friend bool operator==(const View &, const View &) = default;
 };
@@ -115,6 +119,9 @@
 /// for; at least one.
 std::size_t requiredSources(const View &Of, std::size_t DurableCopies);
 
+/// Returns whether more folders of \p Of are known to be lost than the copies
+/// allow for, so that no ledger can have every stored record.
+bool hasLostRecords(const View &Of, std::size_t DurableCopies);
 /// Returns whether what holders have listed since \p Before counts in \p After:
 /// both have as many places, and no other record holders have come in. Then the
 /// change concerns only places of ledgers that have not joined, or lost
@@ -154,7 +161,8 @@
 /// Plans how \p Self joins \p Current. \p Unreachable holds the folders of the
 /// members and predecessors that did not answer within the suspicion timeout.
 /// At most one member is replaced, and only if enough record holders can be
-/// fetched from. A predecessor takes its place again at once: it is counted
+/// fetched from or it is one of Self's instance: its folder is lost, so it does
+/// not come back. A predecessor takes its place again at once: it is counted
 /// among the holders, so it lacks no more than they may.
 JoinPlan planJoin(const View &Current, const ViewMember &Self,
                   const std::set<FolderId> &Unreachable,
@@ -186,6 +194,11 @@
 /// Returns the successor of \p Current in which \p Folder, which was leaving,
 /// is joined again.
 View withMemberStaying(const View &Current, const FolderId &Folder);
+/// Returns \p Next, the successor of a view, with the mark that its members may
+/// lack records.
+View withRecordsMissing(View Next);
+/// Returns the successor of \p Current without that mark.
+View withRecordsComplete(const View &Current);
 /// Returns the successor of \p Current without the member \p Folder.
 View withoutMember(const View &Current, const FolderId &Folder);
 /// Returns the successor of \p Current in which \p Folder is neither a member
--- a/packages/turns/src/TurnStore.cpp
+++ b/packages/turns/src/TurnStore.cpp
@@ -520,6 +520,14 @@
   });
 }
 
+Duration TurnStore::longestRetention() const {
+  Duration Result(0);
+  for (const auto &[Turn, Entry] : Inner->Turns)
+    if (Entry.Link)
+      Result = std::max(Result, Entry.Link->Retention + RetentionSlack);
+  return Result;
+}
+
 std::size_t TurnStore::storedTurnCount() const { return Inner->Texts; }
 std::size_t TurnStore::programCount() const { return Inner->Programs.size(); }
 std::size_t TurnStore::originProcessCount() const {
--- a/packages/turns/src/View.cpp
+++ b/packages/turns/src/View.cpp
@@ -43,6 +43,22 @@
   return Member.Predecessor;
 }
 
+/// Returns the number of places that hold records or have lost them, as in the
+/// view before a free place was taken.
+std::size_t placesWithRecords(const View &Of) {
+  return static_cast<std::size_t>(
+      std::count_if(Of.Members.begin(), Of.Members.end(),
+                    [](const ViewMember &Each) { return !Each.AtFreePlace; }));
+}
+
+/// Returns how many places have every stored record between them, whichever
+/// they are.
+std::size_t holdersWithAllRecords(const View &Of, std::size_t DurableCopies) {
+  const std::size_t Places = placesWithRecords(Of);
+  return Places -
+         std::min(Places, std::max(majorityOf(Places), DurableCopies)) + 1;
+}
+
 /// Returns whether enough record holders of \p Of are reachable for a ledger to
 /// fetch all records.
 bool hasEnoughSources(const View &Of, const std::set<FolderId> &Unreachable,
@@ -134,11 +150,15 @@
 
 void to_json(Json &Value, const View &From) {
   Value = Json{{"number", From.Number}, {"members", From.Members}};
+  if (From.IncompleteSince > 0)
+    Value["incomplete_since"] = From.IncompleteSince;
 }
 
 void from_json(const Json &Value, View &To) {
   Value.at("number").get_to(To.Number);
   Value.at("members").get_to(To.Members);
+  // Views of earlier releases do not say it.
+  To.IncompleteSince = Value.value("incomplete_since", std::uint64_t(0));
 }
 
 Expected<View> parseView(const std::string &Text) {
@@ -213,15 +233,13 @@
 }
 
 std::size_t requiredSources(const View &Of, std::size_t DurableCopies) {
-  // The places that hold records or have lost them, as in the view before a
-  // free place was taken.
-  const auto Places = static_cast<std::size_t>(
-      std::count_if(Of.Members.begin(), Of.Members.end(),
-                    [](const ViewMember &Each) { return !Each.AtFreePlace; }));
-  const std::size_t Copies =
-      std::min(Places, std::max(majorityOf(Places), DurableCopies));
   return std::max<std::size_t>(
-      1, std::min(recordHolders(Of).size(), Places - Copies + 1));
+      1, std::min(recordHolders(Of).size(),
+                  holdersWithAllRecords(Of, DurableCopies)));
+}
+
+bool hasLostRecords(const View &Of, std::size_t DurableCopies) {
+  return recordHolders(Of).size() < holdersWithAllRecords(Of, DurableCopies);
 }
 
 bool keepsSources(const View &Before, const View &After) {
@@ -278,14 +296,18 @@
   }
   Next.Number = Current.Number + 1;
   Next.Members.push_back(Added);
-  const bool NothingToFetch =
-      (ToReplace == nullptr && isForming(Current, Rules)) ||
-      recordHolders(Next).empty();
-  if (NothingToFetch)
+  const bool IsForming = ToReplace == nullptr && isForming(Current, Rules);
+  const bool ReplacesLostFolder =
+      ToReplace != nullptr && ToReplace->Instance == Self.Instance;
+  if (IsForming || recordHolders(Next).empty())
     Next = withMemberJoined(Next, Self.Folder);
-  else if (!hasEnoughSources(Next, Unreachable, Rules.DurableCopies))
+  else if (!ReplacesLostFolder &&
+           !hasEnoughSources(Next, Unreachable, Rules.DurableCopies))
     return {{}, {}, "waiting: too few record holders are reachable"};
   Next.Number = Current.Number + 1;
+  const bool HasNothing = !IsForming && findMember(Next, Self.Folder)->Joined;
+  if (HasNothing && !Current.Members.empty())
+    Next = withRecordsMissing(std::move(Next));
   Plan.Next = Next;
   Plan.Reason =
       ToReplace == nullptr ? "joins at a free place" : "replaces a member";
@@ -363,12 +385,24 @@
   return Next;
 }
 
+View withRecordsMissing(View Next) {
+  Next.IncompleteSince = Next.Number;
+  return Next;
+}
+
+View withRecordsComplete(const View &Current) {
+  View Next = Current;
+  ++Next.Number;
+  Next.IncompleteSince = 0;
+  return Next;
+}
+
 View withoutMember(const View &Current, const FolderId &Folder) {
-  View Next{Current.Number + 1, {}};
-  std::copy_if(Current.Members.begin(), Current.Members.end(),
-               std::back_inserter(Next.Members), [&](const ViewMember &Member) {
-                 return Member.Folder != Folder;
-               });
+  View Next = Current;
+  ++Next.Number;
+  std::erase_if(Next.Members, [&](const ViewMember &Member) {
+    return Member.Folder == Folder;
+  });
   return Next;
 }
 
--- a/packages/turns/test/ViewTest.cpp
+++ b/packages/turns/test/ViewTest.cpp
@@ -404,6 +404,74 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against records that are taken for never stored after all their disks
+/// were lost.
+BOOST_AUTO_TEST_SUITE(ThatMayLackRecords)
+
+BOOST_AUTO_TEST_CASE(IsMarkedIfALedgerJoinsAndNoHolderIsLeft) {
+  const View Current = viewOf({member("1"), member("2", false)});
+  ViewMember Returned = member("1", false);
+  Returned.Folder = FolderId("fresh");
+  const JoinPlan Plan = planJoin(Current, Returned, {FolderA}, DefaultRules);
+  BOOST_REQUIRE(Plan.Next);
+  BOOST_TEST(joinedCount(*Plan.Next) == 1U);
+  BOOST_TEST(Plan.Next->IncompleteSince == Plan.Next->Number);
+}
+
+BOOST_AUTO_TEST_CASE(IsNotMarkedAtTheFirstStart) {
+  const JoinPlan Plan = planJoin({}, member("1", false), {}, FirstStartRules);
+  BOOST_TEST(Plan.Next->IncompleteSince == 0U);
+  BOOST_TEST(planJoin({}, member("1", false), {}, DefaultRules)
+                 .Next->IncompleteSince == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(HasLostMoreFoldersThanTheCopiesAllowFor) {
+  View Current = viewOf({member("1"), member("2", false), member("3")});
+  BOOST_TEST(!hasLostRecords(Current, 2));
+  Current.Members[0].Joined = false;
+  BOOST_TEST(hasLostRecords(Current, 2));
+  Current.Members[0].AtFreePlace = true;
+  BOOST_TEST(!hasLostRecords(Current, 2));
+}
+
+BOOST_AUTO_TEST_CASE(StaysMarkedWhateverElseChanges) {
+  View Marked = withRecordsMissing(
+      viewOf({member("1"), member("2"), member("3", false)}));
+  const std::uint64_t Since = Marked.Number;
+  for (const View &Next :
+       {withMemberJoined(Marked, FolderId("folder-3")),
+        withMemberLeaving(Marked, FolderA), withMemberStaying(Marked, FolderA),
+        withoutMember(Marked, FolderA), withoutHolder(Marked, FolderA),
+        *planJoin(Marked, member("4", false), {FolderId("folder-3")},
+                  DefaultRules)
+             .Next})
+    BOOST_TEST(Next.IncompleteSince == Since);
+  BOOST_TEST(withRecordsComplete(Marked).IncompleteSince == 0U);
+  BOOST_TEST(withRecordsComplete(Marked).Number == Marked.Number + 1);
+}
+
+BOOST_AUTO_TEST_CASE(RoundTripsThroughJson) {
+  const View Marked = withRecordsMissing(viewOf({member("1")}));
+  BOOST_TEST((*parseView(Json(Marked).dump()) == Marked));
+}
+
+BOOST_AUTO_TEST_CASE(IsCompleteIfAnEarlierReleaseWroteIt) {
+  Json Value = withRecordsMissing(viewOf({member("1")}));
+  Value.erase("incomplete_since");
+  BOOST_TEST(parseView(Value.dump())->IncompleteSince == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+/// Guards against a deployment that waits for folders that are lost.
+BOOST_AUTO_TEST_CASE(IsTakenPartInByALedgerWhoseFolderIsLostAtOnce) {
+  const View Current = viewOf({member("1"), member("2"), member("3")});
+  ViewMember Returned = member("1", false);
+  Returned.Folder = FolderId("fresh");
+  BOOST_TEST(describe(planJoin(Current, Returned, {FolderA, FolderB},
+                               DefaultRules)) == "2 3 1? ");
+}
+
 BOOST_AUTO_TEST_CASE(LosesThePlaceOfAMemberThatHasLeft) {
   const View Current = withMemberLeaving(
       viewOf({member("1"), member("2"), member("3")}), FolderA);
