Join without records that nobody can give any more, if no other quorum is left

Cause: a successor waits without end for as many record holders as it must ask. A machine that is taken away with its disk never says so.

The holders that are away are no quorum in any view then, so that two sets of ledgers cannot both serve. Unsealed, it waits as before.

--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -102,6 +102,7 @@
   while (!Stopped) {
     const ViewMember *Member = findMember(CurrentView, Log->folderId());
     if (Member != nullptr && (Member->Joined || Member->Leaving)) {
+      UnreachableSince.clear();
       co_await ViewChanged.wait(steadyNow() + ViewPollInterval);
       co_await endIncompleteness();
       continue;
@@ -221,15 +222,20 @@
 Task<void> LedgerNode::Impl::fetchRecordsAndJoin() {
   const View Before = CurrentView;
   const bool Fetched = co_await fetchFromSources(Before);
+  bool GivesUp = false;
+  if (!Fetched && isUseless(Before, steadyNow())) {
+    GivesUp = co_await isConfirmedUseless(Before);
+  }
   bool Done = false;
-  if (Fetched && Before.Number == CurrentView.Number) {
+  if ((Fetched || GivesUp) && Before.Number == CurrentView.Number) {
     const bool IsIncomplete =
-        hasLostRecords(Before, Options.DurableCopies);
+        !Fetched || hasLostRecords(Before, Options.DurableCopies);
     LogLine("ledger.joining")
         .with("view", Before.Number)
         .with("listed", Lists.size())
         .with("holders", recordHolders(Before).size())
         .with("places", Before.Members.size())
+        .with("fetched", Fetched ? 1 : 0)
         .with("incomplete", IsIncomplete ? 1 : 0)
         .with("turns", Store.storedTurnCount())
         .with("programs", Store.programCount());
@@ -246,6 +252,39 @@
   }
 }
 
+bool LedgerNode::Impl::isUseless(const View &Of, TimePoint Now) {
+  std::size_t Reachable = 0;
+  bool HasHope = false;
+  for (const RecordHolder &Holder : otherHolders(Of)) {
+    if (linkTo(Holder.Address)->isConnected()) {
+      UnreachableSince.erase(Holder.Folder);
+      Reachable += isJoined(Of, Holder.Folder) ? 1 : 0;
+      HasHope = HasHope || Lists.count(Holder.Folder) == 0 ||
+                FailedSources.count(Holder.Folder) > 0;
+      continue;
+    }
+    const TimePoint Since =
+        UnreachableSince.try_emplace(Holder.Folder, Now).first->second;
+    HasHope = HasHope || Now - Since < Options.HolderTimeout;
+  }
+  // Without this ledger, records are stored and read as before.
+  const bool IsNeeded = Reachable < requiredCopies(Of, Options.DurableCopies);
+  return !HasHope && IsNeeded &&
+         isSealed(Of, Lists.size(), Options.DurableCopies);
+}
+
+/// One that is cut off itself learns nothing of the others.
+Task<bool> LedgerNode::Impl::isConfirmedUseless(View Of) {
+  const std::set<FolderId> Unreachable = co_await findUnreachableMembers();
+  const std::vector<RecordHolder> Listed = listedLedgers(Of);
+  const bool IsAnyOtherThere = std::any_of(
+      Listed.begin(), Listed.end(), [&](const RecordHolder &Ledger) {
+        return Ledger.Folder != Log->folderId() &&
+               Unreachable.count(Ledger.Folder) == 0;
+      });
+  co_return IsAnyOtherThere &&isUseless(Of, steadyNow());
+}
+
 Task<void> LedgerNode::Impl::endIncompleteness() {
   const View Before = CurrentView;
   if (Before.IncompleteSince != KnownIncompleteSince) {
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -118,6 +118,9 @@
   std::map<FolderId, std::vector<RecordSummary>> Lists;
   /// The holders of which it could not fetch all that it must.
   std::set<FolderId> FailedSources;
+  /// The holders that this ledger has no connection to while it fetches, and
+  /// since when.
+  std::map<FolderId, TimePoint> UnreachableSince;
   /// The mark of missing records in the current view, and since when this
   /// process knows it.
   std::uint64_t KnownIncompleteSince = 0;
@@ -201,6 +204,12 @@
   Task<void> joinView();
   /// Fetches the records of other members, then marks this member as joined.
   Task<void> fetchRecordsAndJoin();
+  /// Returns whether it is of no use to go on fetching: nobody serves without
+  /// this ledger, what it lacks is nowhere to be had for long, and the ledgers
+  /// that may have it cannot serve on their own.
+  bool isUseless(const View &Of, TimePoint Now);
+  /// Asks all ledgers again before it returns the same.
+  Task<bool> isConfirmedUseless(View Of);
   /// Takes the mark of missing records from the view once all of them would
   /// have expired.
   Task<void> endIncompleteness();
--- a/packages/quorum/test/LedgerLossTest.cpp
+++ b/packages/quorum/test/LedgerLossTest.cpp
@@ -61,4 +61,43 @@
   BOOST_TEST(chain("nowhere") == "unknown_program");
 }
 
+// One ledger has left, the place of the next one is taken by a successor, and
+// the only one that it could fetch from loses its disk before it did.
+BOOST_FIXTURE_TEST_CASE(ServesAgainThoughTheirLastHolderIsGone, Fixture) {
+  HolderTimeout = 1s;
+  until([this] { return await(Nodes[3]->retire()); });
+  stop(3);
+  useCurrentView();
+  BOOST_REQUIRE(storeRecord(turn("a")));
+  stop(2);
+  const auto Silent = startSilentLedger(*this, 2);
+  stop(1);
+  start(4);
+  until([this] { return !folderOf(4).empty(); });
+  Silent->close();
+  fs::remove_all(folder(2));
+  start(2);
+  until([this] { return joinedCount() == 2; });
+  useCurrentView();
+  BOOST_TEST(chain("a") == "not_enough_copies");
+  BOOST_REQUIRE(storeRecord(turn("b")));
+}
+
+// A holder that is only down keeps what no other has.
+BOOST_FIXTURE_TEST_CASE(WaitsForAHolderThatMayServeWithOthersElsewhere,
+                        Fixture) {
+  HolderTimeout = 500ms;
+  BOOST_REQUIRE(storeRecord(turn("a")));
+  wipe(1);
+  stop(2);
+  start(1);
+  Io.run_for(4s);
+  BOOST_TEST(!Nodes[1]->status().IsJoined);
+  start(2);
+  until([this] { return joinedCount() == 3; });
+  useCurrentView();
+  BOOST_TEST(Views.Current.IncompleteSince == 0U);
+  BOOST_TEST(chain("a") == "in a, out a; ");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/quorum/test/QuorumFixture.h
+++ b/packages/quorum/test/QuorumFixture.h
@@ -57,6 +57,7 @@
                                   std::to_string(StartCount));
     Result.FirstStart = FirstStart;
     Result.CompactAfterBytes = CompactAfterBytes;
+    Result.HolderTimeout = HolderTimeout;
     Result.IncompletePeriod = IncompletePeriod;
     Result.EndpointListAge = [this] { return LedgerListAge; };
     return Result;
@@ -188,6 +189,7 @@
   /// How old the ledgers' lists of endpoints are.
   std::optional<Duration> LedgerListAge;
   std::uint64_t CompactAfterBytes = 96U << 20U;
+  Duration HolderTimeout = LedgerOptions().HolderTimeout;
   Duration IncompletePeriod = LedgerOptions().IncompletePeriod;
 };
 
--- a/packages/turns/include/tamarack/turns/View.h
+++ b/packages/turns/include/tamarack/turns/View.h
@@ -122,6 +122,11 @@
 /// Returns whether more folders of \p Of are known to be lost than the copies
 /// allow for, so that no ledger can have every stored record.
 bool hasLostRecords(const View &Of, std::size_t DurableCopies);
+/// Returns whether no set of the unreachable ledgers that \p Of or an earlier
+/// view lists can store records any more. \p Listed is the number of record
+/// holders that have listed their records, and so obey \p Of.
+bool isSealed(const View &Of, std::size_t Listed, std::size_t DurableCopies);
+
 /// Returns whether what holders have listed since \p Before counts in \p After:
 /// both have as many places, and no other record holders have come in. Then the
 /// change concerns only places of ledgers that have not joined, or lost
--- a/packages/turns/src/View.cpp
+++ b/packages/turns/src/View.cpp
@@ -242,6 +242,11 @@
   return recordHolders(Of).size() < holdersWithAllRecords(Of, DurableCopies);
 }
 
+bool isSealed(const View &Of, std::size_t Listed, std::size_t DurableCopies) {
+  const std::size_t Lost = placesWithRecords(Of) - recordHolders(Of).size();
+  return Lost + Listed >= holdersWithAllRecords(Of, DurableCopies);
+}
+
 bool keepsSources(const View &Before, const View &After) {
   const std::vector<RecordHolder> Known = recordHolders(Before);
   const std::vector<RecordHolder> Holders = recordHolders(After);
--- a/packages/turns/test/ViewTest.cpp
+++ b/packages/turns/test/ViewTest.cpp
@@ -463,6 +463,18 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against two sets of ledgers that both store records.
+BOOST_AUTO_TEST_CASE(IsSealedOnceNoQuorumOfUnreachableMembersIsLeft) {
+  const View Current = viewOf({member("1"), member("2"), member("3", false)});
+  // One place is lost: a quorum needs both others.
+  BOOST_TEST(!isSealed(Current, 0, 2));
+  BOOST_TEST(isSealed(Current, 1, 2));
+  View Replacing = Current;
+  Replacing.Members[2].Predecessor = {FolderId("folder-9"), {}, {}, {}};
+  BOOST_TEST(!isSealed(Replacing, 1, 2));
+  BOOST_TEST(isSealed(Replacing, 2, 2));
+}
+
 /// Guards against a deployment that waits for folders that are lost.
 BOOST_AUTO_TEST_CASE(IsTakenPartInByALedgerWhoseFolderIsLostAtOnce) {
   const View Current = viewOf({member("1"), member("2"), member("3")});
