Give up on predecessors only, sooner, and let one that comes back offer its records

And a member that is only down for 15 s could be given up too, which had records that the others lack.

A member keeps its place, so it is waited for without end. A predecessor has lost its place; one that is alive asks for it again within two seconds. It is given up 8 s after it was found unreachable. One that comes back later, with records and without a place, offers them to the joined members of a view that may lack records, as one that retires does; also once it has joined at another place.

What counts as kept by others is fixed when the lists begin: joined members, and no predecessor of another ledger that fetches. A ledger forgets lists once it has joined.

--- a/packages/quorum/src/LedgerFetch.cpp
+++ b/packages/quorum/src/LedgerFetch.cpp
@@ -71,6 +71,13 @@
          });
 }
 
+void LedgerNode::Impl::forgetFetch() {
+  ListsSince = {};
+  Lists.clear();
+  FailedSources.clear();
+  UnreachableSince.clear();
+}
+
 Task<bool> LedgerNode::Impl::fetchFromSources(View Of) {
   if (!keepsLists(Of)) {
     ListsSince = Of;
@@ -86,8 +93,8 @@
   for (const RecordHolder &Holder : connectedFirst(Of))
     if (const auto Found = Lists.find(Holder.Folder); Found != Lists.end()) {
       Sources.push_back({Holder.Address, Holder.Folder});
-      Listed.push_back({Holder.Folder, Found->second,
-                        staysHolder(Of, Holder.Folder, Log->folderId())});
+      Listed.push_back(
+          {Holder.Folder, Found->second, isJoined(ListsSince, Holder.Folder)});
     }
   std::vector<FetchShare> Shares =
       planFetch(Listed, requiredCopies(Of, Options.DurableCopies), Store);
@@ -334,6 +341,10 @@
         Work->Turns.begin() + static_cast<std::ptrdiff_t>(Work->Next),
         Work->Turns.begin() + static_cast<std::ptrdiff_t>(End));
     Work->Next = End;
+    // Ledgers of earlier releases send the texts with the records.
+    if (!Work->WithoutTexts)
+      std::erase_if(Part,
+                    [this](const TurnId &Turn) { return Store.hasText(Turn); });
     while (!Work->Failed && !Part.empty()) {
       ++Work->Calls;
       const LinkBody Request =
--- a/packages/quorum/src/LedgerMembership.cpp
+++ b/packages/quorum/src/LedgerMembership.cpp
@@ -56,11 +56,6 @@
   }
 }
 
-bool isJoined(const View &Of, const FolderId &Folder) {
-  const ViewMember *Member = findMember(Of, Folder);
-  return Member != nullptr && Member->Joined;
-}
-
 /// Returns whether \p Of lists a folder of \p Self's instance that is lost.
 bool listsLostFolder(const View &Of, const ViewMember &Self) {
   const std::vector<RecordHolder> Listed = listedLedgers(Of);
@@ -102,8 +97,11 @@
   while (!Stopped) {
     const ViewMember *Member = findMember(CurrentView, Log->folderId());
     if (Member != nullptr && (Member->Joined || Member->Leaving)) {
-      UnreachableSince.clear();
+      forgetFetch();
       co_await ViewChanged.wait(steadyNow() + ViewPollInterval);
+      if (HasOlderRecords && CurrentView.IncompleteSince > 0) {
+        co_await offerRecords(CurrentView, {});
+      }
       co_await endIncompleteness();
       continue;
     }
@@ -205,12 +203,17 @@
     LogLine("ledger.outside")
         .with("view", Before.Number)
         .with("reason", Plan.Reason);
+    if (Before.IncompleteSince > 0)
+      co_await offerRecords(Before, Unreachable);
     co_await ViewChanged.wait(steadyNow() + (Rules.OnePerDataCentre
                                                  ? RetryInterval
                                                  : ViewPollInterval));
     co_return;
   }
-  ListsSince = {};
+  forgetFetch();
+  HasOlderRecords = Store.programCount() > 0;
+  for (const FolderId &Folder : Unreachable)
+    UnreachableSince.emplace(Folder, steadyNow());
   const bool Done = co_await replaceView(Before, *Plan.Next, Plan.Reason);
   if (!Done) {
     // Another ledger may have changed the view first.
@@ -219,6 +222,22 @@
   }
 }
 
+Task<void> LedgerNode::Impl::offerRecords(View To,
+                                          std::set<FolderId> Unreachable) {
+  if (OfferedSince != To.IncompleteSince) {
+    OfferedSince = To.IncompleteSince;
+    CaughtUpMembers.clear();
+  }
+  std::set<FolderId> Answering;
+  for (const ViewMember &Member : To.Members)
+    if (Member.Joined && Member.Folder != Log->folderId() &&
+        Unreachable.count(Member.Folder) == 0)
+      Answering.insert(Member.Folder);
+  if (Store.programCount() > 0) {
+    co_await askMembersToCatchUp(std::move(To), std::move(Answering));
+  }
+}
+
 Task<void> LedgerNode::Impl::fetchRecordsAndJoin() {
   const View Before = CurrentView;
   const bool Fetched = co_await fetchFromSources(Before);
@@ -254,23 +273,26 @@
 
 bool LedgerNode::Impl::isUseless(const View &Of, TimePoint Now) {
   std::size_t Reachable = 0;
+  std::size_t Listed = 0;
   bool HasHope = false;
   for (const RecordHolder &Holder : otherHolders(Of)) {
+    const bool HasListed = Lists.count(Holder.Folder) > 0;
+    Listed += HasListed ? 1 : 0;
+    // A member that is away keeps its place and its records.
+    const bool HasPlace = findMember(Of, Holder.Folder) != nullptr;
     if (linkTo(Holder.Address)->isConnected()) {
       UnreachableSince.erase(Holder.Folder);
       Reachable += isJoined(Of, Holder.Folder) ? 1 : 0;
-      HasHope = HasHope || Lists.count(Holder.Folder) == 0 ||
-                FailedSources.count(Holder.Folder) > 0;
+      HasHope = HasHope || !HasListed || FailedSources.count(Holder.Folder) > 0;
       continue;
     }
     const TimePoint Since =
         UnreachableSince.try_emplace(Holder.Folder, Now).first->second;
-    HasHope = HasHope || Now - Since < Options.HolderTimeout;
+    HasHope = HasHope || HasPlace || Now - Since < Options.HolderTimeout;
   }
   // Without this ledger, records are stored and read as before.
   const bool IsNeeded = Reachable < requiredCopies(Of, Options.DurableCopies);
-  return !HasHope && IsNeeded &&
-         isSealed(Of, Lists.size(), Options.DurableCopies);
+  return !HasHope && IsNeeded && isSealed(Of, Listed, Options.DurableCopies);
 }
 
 /// One that is cut off itself learns nothing of the others.
--- a/packages/quorum/src/LedgerNodeImpl.h
+++ b/packages/quorum/src/LedgerNodeImpl.h
@@ -121,6 +121,11 @@
   /// The holders that this ledger has no connection to while it fetches, and
   /// since when.
   std::map<FolderId, TimePoint> UnreachableSince;
+  /// Whether this ledger had records when it became a member.
+  bool HasOlderRecords = false;
+  /// The mark of missing records in the view whose members this ledger offered
+  /// its records to.
+  std::uint64_t OfferedSince = 0;
   /// The mark of missing records in the current view, and since when this
   /// process knows it.
   std::uint64_t KnownIncompleteSince = 0;
@@ -204,9 +209,12 @@
   Task<void> joinView();
   /// Fetches the records of other members, then marks this member as joined.
   Task<void> fetchRecordsAndJoin();
+  /// Lets the joined members of a view that may lack records fetch those of
+  /// this ledger: one of them may have joined without it.
+  Task<void> offerRecords(View To, std::set<FolderId> Unreachable);
   /// Returns whether it is of no use to go on fetching: nobody serves without
-  /// this ledger, what it lacks is nowhere to be had for long, and the ledgers
-  /// that may have it cannot serve on their own.
+  /// this ledger, what it lacks is nowhere to be had but at predecessors that
+  /// have long been away, and these cannot serve on their own.
   bool isUseless(const View &Of, TimePoint Now);
   /// Asks all ledgers again before it returns the same.
   Task<bool> isConfirmedUseless(View Of);
@@ -240,6 +248,9 @@
   /// Returns whether the lists that this ledger has are all of holders of \p Of
   /// and include all that may rely on them.
   bool keepsLists(const View &Of) const;
+  /// Forgets what it knows of the records of others, before it fetches from
+  /// them or once it has.
+  void forgetFetch();
   /// Fetches what this ledger must have to join \p Of: it lists the records of
   /// enough holders, and fetches those that too few others keep. Returns false
   /// if it failed or the view changed.
--- a/packages/turns/include/tamarack/turns/FetchPlan.h
+++ b/packages/turns/include/tamarack/turns/FetchPlan.h
@@ -18,7 +18,8 @@
 struct RecordList {
   FolderId Folder;
   std::vector<RecordSummary> Records;
-  /// Whether the ledger stays a record holder once this one has joined.
+  /// Whether the ledger stays a record holder once this one has joined: whether
+  /// it was a joined member when it began to list.
   bool IsKept = true;
 
   friend bool operator==(const RecordList &, const RecordList &) = default;
--- a/packages/turns/include/tamarack/turns/View.h
+++ b/packages/turns/include/tamarack/turns/View.h
@@ -104,10 +104,8 @@
 std::vector<RecordHolder> recordHolders(const View &Of);
 /// Returns whether the ledger with this folder is a record holder.
 bool holdsRecords(const View &Of, const FolderId &Folder);
-/// Returns whether \p Folder is a record holder of \p Of and stays one once the
-/// member \p Joining has joined, for as long as its disk is there.
-bool staysHolder(const View &Of, const FolderId &Folder,
-                 const FolderId &Joining);
+/// Returns whether \p Folder is a joined member of \p Of.
+bool isJoined(const View &Of, const FolderId &Folder);
 /// Returns the number of joined members.
 std::size_t joinedCount(const View &Of);
 /// Returns all members and all predecessors.
--- a/packages/turns/src/View.cpp
+++ b/packages/turns/src/View.cpp
@@ -206,14 +206,9 @@
       [&](const RecordHolder &Holder) { return Holder.Folder == Folder; });
 }
 
-bool staysHolder(const View &Of, const FolderId &Folder,
-                 const FolderId &Joining) {
-  const ViewMember *Self = findMember(Of, Joining);
-  const bool IsReplaced = Self != nullptr && Self->Predecessor &&
-                          Self->Predecessor->Folder == Folder;
+bool isJoined(const View &Of, const FolderId &Folder) {
   const ViewMember *Member = findMember(Of, Folder);
-  const bool IsLeaving = Member != nullptr && Member->Leaving;
-  return holdsRecords(Of, Folder) && !IsReplaced && !IsLeaving;
+  return Member != nullptr && Member->Joined;
 }
 
 std::size_t joinedCount(const View &Of) {
