--- a/packages/turns/include/tamarack/turns/Journal.h
+++ b/packages/turns/include/tamarack/turns/Journal.h
@@ -44,8 +44,8 @@
 
   /// Opens the journal in \p Folder, creating the folder if needed, and passes
   /// all intact frames to \p OnFrame. A folder without an identity gets
-  /// \p NewFolder. Returns an Internal error if a file cannot be created, cut
-  /// or flushed.
+  /// \p NewFolder. Returns an Internal error if a file cannot be read, created,
+  /// cut or flushed. What it cannot read it leaves as it is.
   static Expected<std::unique_ptr<Journal>>
   open(const std::filesystem::path &Folder, const FolderId &NewFolder,
        const FrameCallback &OnFrame);
@@ -86,7 +86,7 @@
   FrameReader &operator=(const FrameReader &) = delete;
 
   /// Returns the payload at \p Location, or an Internal error if the segment
-  /// cannot be opened or is too short. Does not verify the checksum.
+  /// cannot be read or is too short. Does not verify the checksum.
   Expected<std::string> read(const FrameLocation &Location);
   /// Closes all segments with a number below \p Segment.
   void closeSegmentsBefore(std::uint64_t Segment);
--- a/packages/turns/src/Journal.cpp
+++ b/packages/turns/src/Journal.cpp
@@ -4,7 +4,6 @@
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
-#include <fstream>
 #include <map>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -16,6 +15,7 @@
 namespace fs = std::filesystem;
 
 constexpr const char *IdentityFileName = "folder";
+constexpr std::size_t MaxIdentityBytes = 4096;
 constexpr const char *SegmentPrefix = "segment-";
 /// Each payload is preceded by its length (4 bytes) and checksum (8 bytes).
 constexpr std::size_t HeaderBytes = 12;
@@ -80,9 +80,9 @@
   Out.append(Payload);
 }
 
-/// Reads \p Size bytes at \p Offset, or fewer at the end of the file or after a
-/// read error.
-std::string readAt(int Descriptor, std::uint64_t Offset, std::size_t Size) {
+/// Reads \p Size bytes at \p Offset, or fewer at the end of the file.
+Expected<std::string> readAt(int Descriptor, std::uint64_t Offset,
+                             std::size_t Size) {
   std::string Result(Size, '\0');
   std::size_t Filled = 0;
   while (Filled < Size) {
@@ -91,7 +91,9 @@
                 static_cast<off_t>(Offset + Filled));
     if (Count < 0 && errno == EINTR)
       continue;
-    if (Count <= 0)
+    if (Count < 0)
+      return systemError("cannot read");
+    if (Count == 0)
       break;
     Filled += static_cast<std::size_t>(Count);
   }
@@ -101,26 +103,29 @@
 
 /// Calls \p OnFrame for each intact frame and returns the offset of the first
 /// damaged or incomplete one, or the end of the file.
-std::uint64_t readFrames(
+Expected<std::uint64_t> readFrames(
     int Descriptor,
     const std::function<void(std::uint64_t, std::string_view)> &OnFrame) {
   std::uint64_t Offset = 0;
   while (true) {
-    const std::string Header = readAt(Descriptor, Offset, HeaderBytes);
-    if (Header.size() < HeaderBytes)
+    const auto Header = readAt(Descriptor, Offset, HeaderBytes);
+    if (!Header)
+      return tl::unexpected(Header.error());
+    if (Header->size() < HeaderBytes)
       return Offset;
     std::uint32_t Length = 0;
     std::uint64_t Check = 0;
-    std::memcpy(&Length, Header.data(), sizeof Length);
-    std::memcpy(&Check, Header.data() + sizeof Length, sizeof Check);
+    std::memcpy(&Length, Header->data(), sizeof Length);
+    std::memcpy(&Check, Header->data() + sizeof Length, sizeof Check);
     if (Length > MaxFrameBytes)
       return Offset;
-    const std::string Payload =
-        readAt(Descriptor, Offset + HeaderBytes, Length);
-    if (Payload.size() < Length ||
-        XXH64(Payload.data(), Payload.size(), Length) != Check)
+    const auto Payload = readAt(Descriptor, Offset + HeaderBytes, Length);
+    if (!Payload)
+      return tl::unexpected(Payload.error());
+    if (Payload->size() < Length ||
+        XXH64(Payload->data(), Payload->size(), Length) != Check)
       return Offset;
-    OnFrame(Offset + HeaderBytes, Payload);
+    OnFrame(Offset + HeaderBytes, *Payload);
     Offset += HeaderBytes + Length;
   }
 }
@@ -129,23 +134,35 @@
   return Folder / (SegmentPrefix + std::to_string(Number));
 }
 
-std::vector<std::uint64_t> segmentsIn(const fs::path &Folder) {
+Expected<std::vector<std::uint64_t>> segmentsIn(const fs::path &Folder) {
   std::vector<std::uint64_t> Result;
   std::error_code Failure;
-  for (const fs::directory_entry &Entry :
-       fs::directory_iterator(Folder, Failure)) {
-    const std::string Name = Entry.path().filename().string();
+  for (fs::directory_iterator Entry(Folder, Failure), End;
+       !Failure && Entry != End; Entry.increment(Failure)) {
+    const std::string Name = Entry->path().filename().string();
     if (Name.rfind(SegmentPrefix, 0) == 0)
       Result.push_back(std::strtoull(Name.c_str() + std::strlen(SegmentPrefix),
                                      nullptr, 10));
   }
+  if (Failure)
+    return refuse(ErrorKind::Internal,
+                  "cannot list " + Folder.string() + ": " + Failure.message());
   std::sort(Result.begin(), Result.end());
   return Result;
 }
 
-std::string readFile(const fs::path &Path) {
-  std::ifstream In(Path, std::ios::binary);
-  return {std::istreambuf_iterator<char>(In), std::istreambuf_iterator<char>()};
+/// Returns the identity file's text, or an empty one if there is no such file.
+Expected<std::string> readIdentity(const fs::path &Path) {
+  const File In(Path, O_RDONLY);
+  if (!In.isOpen() && errno == ENOENT)
+    return std::string();
+  if (!In.isOpen())
+    return systemError("cannot open " + Path.string());
+  auto Text = readAt(In.descriptor(), 0, MaxIdentityBytes);
+  if (!Text)
+    return refuse(ErrorKind::Internal,
+                  Path.string() + ": " + Text.error().Message);
+  return Text;
 }
 
 } // namespace
@@ -166,16 +183,26 @@
   Expected<void> loadIdentity(const FolderId &NewFolder) {
     std::error_code Failure;
     fs::create_directories(Folder, Failure);
-    const std::string Stored = readFile(Folder / IdentityFileName);
+    const auto Stored = readIdentity(Folder / IdentityFileName);
+    if (!Stored)
+      return tl::unexpected(Stored.error());
     // An identity without its final line feed was torn by a crash before anyone
     // could have used it; it counts as absent.
-    if (Stored.size() > 1 && Stored.back() == '\n') {
-      Identity = FolderId(Stored.substr(0, Stored.size() - 1));
+    if (Stored->size() > 1 && Stored->back() == '\n') {
+      Identity = FolderId(Stored->substr(0, Stored->size() - 1));
       return {};
     }
+    return createIdentity(NewFolder);
+  }
+
+  Expected<void> createIdentity(const FolderId &NewFolder) {
     Fresh = true;
     Identity = NewFolder;
-    for (const std::uint64_t Old : segmentsIn(Folder))
+    const auto OldSegments = segmentsIn(Folder);
+    if (!OldSegments)
+      return tl::unexpected(OldSegments.error());
+    std::error_code Failure;
+    for (const std::uint64_t Old : *OldSegments)
       fs::remove(pathOf(Old), Failure);
     const File Out(Folder / IdentityFileName, O_WRONLY | O_CREAT | O_TRUNC);
     if (!Out.isOpen())
@@ -203,20 +230,36 @@
     return syncFolder(Folder);
   }
 
+  /// Returns how many bytes of the segment are intact frames.
+  Expected<std::uint64_t> readSegment(std::uint64_t Number,
+                                      const FrameCallback &OnFrame) const {
+    const File Segment(pathOf(Number), O_RDONLY);
+    if (!Segment.isOpen())
+      return systemError("cannot open " + pathOf(Number).string());
+    auto Intact =
+        readFrames(Segment.descriptor(), [&](std::uint64_t Offset,
+                                             std::string_view Payload) {
+          OnFrame({Number, Offset, static_cast<std::uint32_t>(Payload.size())},
+                  Payload);
+        });
+    if (!Intact)
+      return refuse(ErrorKind::Internal,
+                    pathOf(Number).string() + ": " + Intact.error().Message);
+    return Intact;
+  }
+
   Expected<void> load(const FrameCallback &OnFrame) {
-    const std::vector<std::uint64_t> Numbers = segmentsIn(Folder);
+    const auto Numbers = segmentsIn(Folder);
+    if (!Numbers)
+      return tl::unexpected(Numbers.error());
     std::uint64_t IntactBytes = 0;
-    for (const std::uint64_t Number : Numbers) {
-      const File Segment(pathOf(Number), O_RDONLY);
-      IntactBytes =
-          readFrames(Segment.descriptor(),
-                     [&](std::uint64_t Offset, std::string_view Payload) {
-                       OnFrame({Number, Offset,
-                                static_cast<std::uint32_t>(Payload.size())},
-                               Payload);
-                     });
+    for (const std::uint64_t Number : *Numbers) {
+      const auto Intact = readSegment(Number, OnFrame);
+      if (!Intact)
+        return tl::unexpected(Intact.error());
+      IntactBytes = *Intact;
     }
-    return startSegment(Numbers.empty() ? 1 : Numbers.back(), IntactBytes);
+    return startSegment(Numbers->empty() ? 1 : Numbers->back(), IntactBytes);
   }
 };
 
@@ -273,7 +316,10 @@
 }
 
 Expected<void> Journal::removeSegmentsBefore(std::uint64_t Segment) {
-  for (const std::uint64_t Number : segmentsIn(Inner->Folder)) {
+  const auto Numbers = segmentsIn(Inner->Folder);
+  if (!Numbers)
+    return tl::unexpected(Numbers.error());
+  for (const std::uint64_t Number : *Numbers) {
     if (Number >= Segment)
       continue;
     std::error_code Failure;
@@ -304,9 +350,9 @@
     Segment =
         Inner->OpenSegments.emplace(Location.Segment, std::move(Opened)).first;
   }
-  std::string Payload =
+  auto Payload =
       readAt(Segment->second.descriptor(), Location.Offset, Location.Length);
-  if (Payload.size() < Location.Length)
+  if (Payload && Payload->size() < Location.Length)
     return refuse(ErrorKind::Internal, "segment " +
                                            std::to_string(Location.Segment) +
                                            " ends inside a journal frame");
--- a/packages/turns/test/JournalTest.cpp
+++ b/packages/turns/test/JournalTest.cpp
@@ -16,18 +16,30 @@
   }
   ~JournalFixture() { fs::remove_all(Path); }
 
-  std::unique_ptr<Journal> open(const std::string &NewFolder = "fresh") {
+  Expected<std::unique_ptr<Journal>>
+  tryOpen(const std::string &NewFolder = "fresh") {
     Frames.clear();
     Locations.clear();
-    auto Opened = Journal::open(
+    return Journal::open(
         Path, FolderId(NewFolder),
         [this](const FrameLocation &Location, std::string_view Frame) {
           Frames.emplace_back(Frame);
           Locations.push_back(Location);
         });
+  }
+  std::unique_ptr<Journal> open(const std::string &NewFolder = "fresh") {
+    auto Opened = tryOpen(NewFolder);
     BOOST_REQUIRE(Opened);
     return std::move(*Opened);
   }
+  void writeThreeSegments() {
+    const auto Log = open();
+    Log->write({"one"});
+    for (const char *Frame : {"two", "three"}) {
+      BOOST_REQUIRE(Log->roll());
+      Log->write({Frame});
+    }
+  }
   fs::path segmentPath(int Number) const {
     return Path / ("segment-" + std::to_string(Number));
   }
@@ -119,6 +131,58 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Guards against acknowledged records that are lost, while the folder keeps
+/// its identity, because a file could not be read for a moment. The files that
+/// take the place of others here cannot be read by root either.
+BOOST_AUTO_TEST_SUITE(DoesNotOpen)
+
+BOOST_FIXTURE_TEST_CASE(IfASegmentCannotBeRead, JournalFixture) {
+  writeThreeSegments();
+  fs::rename(segmentPath(2), Path / "aside");
+  fs::create_directory(segmentPath(2));
+  BOOST_TEST(!tryOpen());
+  fs::remove(segmentPath(2));
+  fs::rename(Path / "aside", segmentPath(2));
+  open();
+  BOOST_TEST((Frames == Texts{"one", "two", "three"}));
+}
+
+BOOST_FIXTURE_TEST_CASE(IfTheLastSegmentCannotBeOpened, JournalFixture) {
+  writeThreeSegments();
+  fs::rename(segmentPath(3), Path / "aside");
+  // Can be opened for writing, which creates its target.
+  fs::create_symlink(Path / "elsewhere", segmentPath(3));
+  BOOST_TEST(!tryOpen());
+  BOOST_TEST(!fs::exists(Path / "elsewhere"));
+  fs::rename(Path / "aside", segmentPath(3));
+  open();
+  BOOST_TEST((Frames == Texts{"one", "two", "three"}));
+}
+
+BOOST_FIXTURE_TEST_CASE(IfItsIdentityCannotBeRead, JournalFixture) {
+  writeThreeSegments();
+  fs::rename(Path / "folder", Path / "aside");
+  fs::create_directory(Path / "folder");
+  BOOST_TEST(!tryOpen());
+  fs::remove(Path / "folder");
+  fs::rename(Path / "aside", Path / "folder");
+  BOOST_TEST(open("second")->folderId().text() == "fresh");
+  BOOST_TEST((Frames == Texts{"one", "two", "three"}));
+}
+
+BOOST_FIXTURE_TEST_CASE(IfItsIdentityCannotBeOpened, JournalFixture) {
+  writeThreeSegments();
+  fs::rename(Path / "folder", Path / "aside");
+  // Refers to itself.
+  fs::create_symlink(Path / "folder", Path / "folder");
+  BOOST_TEST(!tryOpen());
+  fs::rename(Path / "aside", Path / "folder");
+  BOOST_TEST(open("second")->folderId().text() == "fresh");
+  BOOST_TEST((Frames == Texts{"one", "two", "three"}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_CASE(RemovesOldSegmentsAfterCompaction, JournalFixture) {
   auto Log = open();
   Log->write({"old"});
