Keep old segments if their records could not be copied

Cause: compaction queues the copies without a look at their outcome, and then the removal of the old segments.

removeSegmentsBefore() is refused once a write has failed, like write() and roll().

Tests: turns AJournal/KeepsOldSegmentsIfTheirRecordsCannotBeCopied and quorum AJournalWithMoreLiveBytesThanItIsCompactedAfter/KeepsItsTurnsIfTheyCannotBeCopied, both red without the check. A limit of the file size stands in for a full disk.

--- a/packages/quorum/test/LedgerCompactionTest.cpp
+++ b/packages/quorum/test/LedgerCompactionTest.cpp
@@ -1,5 +1,8 @@
+#include "FullDisk.h"
 #include "QuorumFixture.h"
 
+#include "tamarack/turns/Journal.h"
+
 using namespace tamarack;
 using namespace tamarack::testing;
 
@@ -23,16 +26,15 @@
     until([this] { return newestSegment(1) > 1 && newestSegment(2) > 1; });
   }
 
-  void storeTurns(int Count) {
+  void storeTurns(int Count, std::size_t Bytes = InputBytes) {
     for (int Number = 0; Number < Count; ++Number) {
       const TurnId Id("t" + std::to_string(Stored++));
-      BOOST_REQUIRE(
-          storeRecord({ProgramId("p"),
-                       Id,
-                       {10, true},
-                       std::make_shared<const StoredTurn>(StoredTurn{
-                           Id, {}, std::string(InputBytes, 'x'), "", 60s}),
-                       {}}));
+      BOOST_REQUIRE(storeRecord({ProgramId("p"),
+                                 Id,
+                                 {10, true},
+                                 std::make_shared<const StoredTurn>(StoredTurn{
+                                     Id, {}, std::string(Bytes, 'x'), "", 60s}),
+                                 {}}));
     }
   }
 
@@ -47,6 +49,12 @@
     return Result;
   }
 
+  void restart() {
+    for (const int Ledger : {1, 2})
+      start(Ledger);
+    until([this] { return joinedCount() == 2; });
+  }
+
   int Stored = 0;
 };
 
@@ -79,4 +87,30 @@
   }
 }
 
+// Guards against the loss of all turns when the disk is full while they are
+// copied: the old segments have the only copies.
+BOOST_AUTO_TEST_CASE(KeepsItsTurnsIfTheyCannotBeCopied) {
+  constexpr std::size_t NewBytes = TurnsBetweenCompactions * InputBytes;
+  for (const int Ledger : {1, 2}) {
+    stop(Ledger);
+    const auto Log = Journal::open(folder(Ledger), {}, [](auto &&...) {});
+    BOOST_REQUIRE(Log);
+    BOOST_REQUIRE((*Log)->roll());
+  }
+  restart();
+  const int Before = newestSegment(1);
+  {
+    // Room for one turn as long as the others, and not for all.
+    const FullDisk Disk(NewBytes * 3 / 2);
+    storeTurns(1, NewBytes);
+    until([&] { return newestSegment(1) > Before; });
+    Io.run_for(ThreeChecks);
+  }
+  stop(1);
+  stop(2);
+  restart();
+  for (const int Ledger : {1, 2})
+    BOOST_TEST(Nodes[Ledger]->status().Turns == std::size_t(Stored));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/turns/include/tamarack/turns/Journal.h
+++ b/packages/turns/include/tamarack/turns/Journal.h
@@ -57,13 +57,14 @@
   bool isFresh() const;
 
   /// Appends all frames, flushes them to disk and returns their locations.
-  /// After a failure all later calls are refused, because the end of the file
-  /// is then unknown.
+  /// After a failure all later calls are refused, as are those of roll() and
+  /// removeSegmentsBefore(), because the end of the file is then unknown.
   Expected<std::vector<FrameLocation>>
   write(const std::vector<std::string> &Frames);
   /// Starts a new segment.
   Expected<void> roll();
-  /// Removes all segments with a number below \p Segment.
+  /// Removes all segments with a number below \p Segment, unless a write has
+  /// failed: they may hold the only copies of what could not be written.
   Expected<void> removeSegmentsBefore(std::uint64_t Segment);
 
   /// Returns the number of the segment that write() appends to.
--- a/packages/turns/src/Journal.cpp
+++ b/packages/turns/src/Journal.cpp
@@ -176,6 +176,13 @@
   File CurrentFile{"", 0};
   bool Broken = false;
 
+  Expected<void> checkWritable() const {
+    if (Broken)
+      return refuse(ErrorKind::Internal,
+                    "the journal is closed to writes after an earlier failure");
+    return {};
+  }
+
   fs::path pathOf(std::uint64_t Number) const {
     return segmentPath(Folder, Number);
   }
@@ -284,9 +291,8 @@
 
 Expected<std::vector<FrameLocation>>
 Journal::write(const std::vector<std::string> &Frames) {
-  if (Inner->Broken)
-    return refuse(ErrorKind::Internal,
-                  "the journal is closed to writes after an earlier failure");
+  if (auto Writable = Inner->checkWritable(); !Writable)
+    return tl::unexpected(Writable.error());
   std::string Out;
   std::vector<FrameLocation> Locations;
   Locations.reserve(Frames.size());
@@ -307,15 +313,17 @@
 }
 
 Expected<void> Journal::roll() {
-  if (Inner->Broken)
-    return refuse(ErrorKind::Internal,
-                  "the journal is closed to writes after an earlier failure");
+  if (auto Writable = Inner->checkWritable(); !Writable)
+    return Writable;
   Expected<void> Done = Inner->startSegment(Inner->Segment + 1, 0);
   Inner->Broken = !Done;
   return Done;
 }
 
 Expected<void> Journal::removeSegmentsBefore(std::uint64_t Segment) {
+  // What was to be copied to later segments may not be there.
+  if (auto Writable = Inner->checkWritable(); !Writable)
+    return Writable;
   const auto Numbers = segmentsIn(Inner->Folder);
   if (!Numbers)
     return tl::unexpected(Numbers.error());
--- a/packages/turns/test/JournalTest.cpp
+++ b/packages/turns/test/JournalTest.cpp
@@ -1,3 +1,5 @@
+#include "FullDisk.h"
+
 #include "tamarack/turns/Journal.h"
 
 #include <boost/test/unit_test.hpp>
@@ -194,4 +196,20 @@
   BOOST_TEST(Log->currentSegment() == 2U);
 }
 
+// Guards against a full disk during a compaction, after which the only copies
+// of the records are removed.
+BOOST_FIXTURE_TEST_CASE(KeepsOldSegmentsIfTheirRecordsCannotBeCopied,
+                        JournalFixture) {
+  auto Log = open();
+  Log->write({"one", "two"});
+  BOOST_TEST(Log->roll().has_value());
+  {
+    const testing::FullDisk Disk(/*MaxBytes=*/1);
+    BOOST_TEST(!Log->write({"one", "two"}));
+  }
+  BOOST_TEST(!Log->removeSegmentsBefore(Log->currentSegment()));
+  Log = open();
+  BOOST_TEST((Frames == Texts{"one", "two"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
