--- a/packages/quorum/src/LedgerNode.cpp
+++ b/packages/quorum/src/LedgerNode.cpp
@@ -19,6 +19,15 @@
   return Frame;
 }
 
+/// Returns "SEGMENT:BYTES,..." of the segments that were not read whole.
+std::string describe(const std::vector<UnreadEnd> &Ends) {
+  std::string Result;
+  for (const UnreadEnd &End : Ends)
+    Result += (Result.empty() ? "" : ",") + std::to_string(End.Segment) + ":" +
+              std::to_string(End.Bytes);
+  return Result;
+}
+
 } // namespace
 
 Expected<void> LedgerNode::Impl::load() {
@@ -53,7 +62,9 @@
       .with("view", CurrentView.Number)
       .with("programs", Store.programCount())
       .with("turns", Store.storedTurnCount())
-      .with("unread_frames", UnreadFrames);
+      .with("unread_frames", UnreadFrames)
+      .with("segment", Log->currentSegment())
+      .with("unread", describe(Log->unreadEnds()));
   return {};
 }
 
--- a/packages/turns/include/tamarack/turns/Journal.h
+++ b/packages/turns/include/tamarack/turns/Journal.h
@@ -4,10 +4,13 @@
 ///   (*Opened)->write({Frame1, Frame2});   // returns after fdatasync
 ///
 /// A ledger acknowledges a record only after write() has returned. A damaged
-/// or incomplete frame was therefore never acknowledged, and open() drops it
-/// together with the rest of its segment. The identity of the folder is created
-/// with the folder. write(), roll() and removeSegmentsBefore() must not be
-/// called concurrently; FrameReader may read frames from another thread.
+/// or incomplete frame at the end of the last segment was therefore never
+/// acknowledged, and open() drops it together with the rest of its segment. In
+/// an earlier segment, which was whole when the next one was begun, it means
+/// that the disk has lost records; open() skips it in the same way. The
+/// identity of the folder is created with the folder. write(), roll() and
+/// removeSegmentsBefore() must not be called concurrently; FrameReader may read
+/// frames from another thread.
 #ifndef TAMARACK_TURNS_JOURNAL_H
 #define TAMARACK_TURNS_JOURNAL_H
 
@@ -36,6 +39,14 @@
                          const FrameLocation &) = default;
 };
 
+/// The end of a segment, from its first damaged or incomplete frame.
+struct UnreadEnd {
+  std::uint64_t Segment = 0;
+  std::uint64_t Bytes = 0;
+
+  friend bool operator==(const UnreadEnd &, const UnreadEnd &) = default;
+};
+
 class Journal {
 public:
   /// Called by open() for each intact frame, oldest first.
@@ -56,6 +67,10 @@
   /// an identity cannot be trusted, so open() has then removed them.
   bool isFresh() const;
 
+  /// Returns what open() did not read, oldest first. Only the last segment may
+  /// have such an end after a crash.
+  const std::vector<UnreadEnd> &unreadEnds() const;
+
   /// Appends all frames, flushes them to disk and returns their locations.
   /// After a failure all later calls are refused, as are those of roll() and
   /// removeSegmentsBefore(), because the end of the file is then unknown.
--- a/packages/turns/src/Journal.cpp
+++ b/packages/turns/src/Journal.cpp
@@ -101,6 +101,13 @@
   return Result;
 }
 
+Expected<std::uint64_t> sizeOf(int Descriptor) {
+  struct stat Status {};
+  if (::fstat(Descriptor, &Status) != 0)
+    return systemError("cannot stat a segment");
+  return static_cast<std::uint64_t>(Status.st_size);
+}
+
 /// Calls \p OnFrame for each intact frame and returns the offset of the first
 /// damaged or incomplete one, or the end of the file.
 Expected<std::uint64_t> readFrames(
@@ -175,6 +182,7 @@
   std::uint64_t Bytes = 0;
   File CurrentFile{"", 0};
   bool Broken = false;
+  std::vector<UnreadEnd> UnreadEnds;
 
   Expected<void> checkWritable() const {
     if (Broken)
@@ -239,7 +247,7 @@
 
   /// Returns how many bytes of the segment are intact frames.
   Expected<std::uint64_t> readSegment(std::uint64_t Number,
-                                      const FrameCallback &OnFrame) const {
+                                      const FrameCallback &OnFrame) {
     const File Segment(pathOf(Number), O_RDONLY);
     if (!Segment.isOpen())
       return systemError("cannot open " + pathOf(Number).string());
@@ -252,6 +260,11 @@
     if (!Intact)
       return refuse(ErrorKind::Internal,
                     pathOf(Number).string() + ": " + Intact.error().Message);
+    const auto Size = sizeOf(Segment.descriptor());
+    if (!Size)
+      return tl::unexpected(Size.error());
+    if (*Size > *Intact)
+      UnreadEnds.push_back({Number, *Size - *Intact});
     return Intact;
   }
 
@@ -288,6 +301,9 @@
 const FolderId &Journal::folderId() const { return Inner->Identity; }
 bool Journal::isFresh() const { return Inner->Fresh; }
 std::uint64_t Journal::currentSegment() const { return Inner->Segment; }
+const std::vector<UnreadEnd> &Journal::unreadEnds() const {
+  return Inner->UnreadEnds;
+}
 
 Expected<std::vector<FrameLocation>>
 Journal::write(const std::vector<std::string> &Frames) {
--- a/packages/turns/test/JournalTest.cpp
+++ b/packages/turns/test/JournalTest.cpp
@@ -42,6 +42,12 @@
       Log->write({Frame});
     }
   }
+  /// Changes the payload of the frame at \p Offset, which is three bytes long.
+  void damageSegment(int Number, int Offset = 0) const {
+    std::fstream File(segmentPath(Number), std::ios::in | std::ios::out);
+    File.seekp(Offset + 13);
+    File.put('X');
+  }
   fs::path segmentPath(int Number) const {
     return Path / ("segment-" + std::to_string(Number));
   }
@@ -116,14 +122,22 @@
 
 BOOST_FIXTURE_TEST_CASE(DropsWhatFollowsADamagedFrame, JournalFixture) {
   open()->write({"one", "two", "three"});
-  std::fstream File(segmentPath(1), std::ios::in | std::ios::out);
-  File.seekp(2 * 15 - 2); // Inside the payload of "two".
-  File.put('X');
-  File.close();
+  damageSegment(1, 15);
   open();
   BOOST_TEST((Frames == Texts{"one"}));
 }
 
+// Guards against acknowledged records that are lost without a line.
+BOOST_FIXTURE_TEST_CASE(TellsWhatItDidNotReadOfWhichSegments, JournalFixture) {
+  writeThreeSegments();
+  BOOST_TEST(open()->unreadEnds().empty());
+  damageSegment(2);
+  std::ofstream(segmentPath(3), std::ios::app) << "torn";
+  const auto Log = open();
+  BOOST_TEST((Frames == Texts{"one", "three"}));
+  BOOST_TEST((Log->unreadEnds() == std::vector<UnreadEnd>{{2, 15}, {3, 4}}));
+}
+
 BOOST_FIXTURE_TEST_CASE(TreatsATornIdentityAsAbsent, JournalFixture) {
   open("first")->write({"one"});
   std::ofstream(Path / "folder") << "fir";
