Do not forget missed turns on the word of an empty ledger

Callers: the first turns of a chain expire while it is in use: 503 "an earlier turn of the chain was not found", if a ledger was down for a moment and another one has lost its disk.

Cause: a ledger forgets a turn that it missed once enough holders say that they have no such link. The reply to FetchLinks does not say who sent it: a ledger that came back empty at the address of a holder knows of no turn, and its reply counted as the holder's. Lifetimes, asked before records expire, is checked.

After a reply the ledger asks who is there (hasFolder), and counts the reply only if it is the holder. A lost folder does not come back, so one that has it after the reply had it before. The links of a reply are stored whoever sent it.

Test: quorum LearnsWhatItMissed/AlsoIfAnEmptyLedgerAnswersInPlaceOfAnother, red before (1 link of 3).

--- a/packages/quorum/src/LedgerRetention.cpp
+++ b/packages/quorum/src/LedgerRetention.cpp
@@ -52,9 +52,12 @@
                                                       Holder.Address);
     if (!Links)
       continue;
-    ++Answers;
     for (const std::string &Frame : Links->Frames)
       Fetched += storeLink(Frame) ? 1 : 0;
+    // One that has lost its disk knows of no turn.
+    RecordSource Source{Holder.Address, Holder.Folder};
+    const bool IsHolder = co_await hasFolder(std::move(Source));
+    Answers += IsHolder ? 1 : 0;
   }
   // A turn that none of them has was not acknowledged, or was dropped.
   if (Answers == Needed)
--- a/packages/quorum/test/QuorumTest.cpp
+++ b/packages/quorum/test/QuorumTest.cpp
@@ -610,6 +610,47 @@
   BOOST_TEST(Received > 70);
 }
 
+// Guards against turns that are dropped while their chain is in use: an empty
+// ledger answers where one was that has lost its disk, and knows of no turn.
+BOOST_FIXTURE_TEST_CASE(AlsoIfAnEmptyLedgerAnswersInPlaceOfAnother,
+                        QuorumFixture) {
+  startAll();
+  useCurrentView();
+  BOOST_REQUIRE(storeRecord(turn("a")));
+  stop(3);
+  // Ledger 3 does not get it late either.
+  constexpr Duration Timeout = 500ms;
+  BOOST_REQUIRE(storeRecord(turn("b", "a"), Timeout));
+  Io.run_for(Timeout);
+  // The one that is asked first.
+  const int Lost = Views.Current.Members.front().Folder == folderOf(1) ? 1 : 2;
+  stop(Lost);
+  int Questions = 0;
+  LinkServer Empty(Io, [&](const std::string &Name, const Json &,
+                           const LinkServer::Reply &Answer) {
+    if (Name == calls::Ping) {
+      Answer(Json(PingResponse{FolderId("empty"), Views.Current.Number}));
+    } else if (Name == calls::FetchLinks) {
+      ++Questions;
+      Answer(Json(FetchTurnsResponse()));
+    } else {
+      Answer(refuse(ErrorKind::Internal, "not part of the test"));
+    }
+  });
+  BOOST_REQUIRE(Empty.listen(options(Lost, /*FirstStart=*/false).Address));
+  start(3);
+  until([this] { return Nodes[3]->status().IsJoined; });
+  BOOST_REQUIRE(storeRecord(turn("c", "b")));
+  until([&] { return Questions > 0 && Nodes[3]->status().MissedTurns == 0; });
+  const auto Link = LinkClient::make(
+      Io, options(3, /*FirstStart=*/false).Address, LinkOptions());
+  const Expected<Json> Answer = await(
+      callLink(Io, Link, calls::FetchLinks,
+               encodeBody(std::vector<TurnId>{TurnId("c")}), steadyNow() + 2s));
+  BOOST_REQUIRE(Answer);
+  BOOST_TEST(Answer->get<FetchTurnsResponse>().Frames.size() == 3U);
+}
+
 BOOST_FIXTURE_TEST_CASE(NotIfNoLedgerHasIt, QuorumFixture) {
   startAll();
   useCurrentView();
