--- a/packages/quorum/include/tamarack/quorum/LedgerNode.h
+++ b/packages/quorum/include/tamarack/quorum/LedgerNode.h
@@ -56,9 +56,10 @@
   /// The default is a fifth of the smallest disk (470 MB), or two minutes of
   /// traffic on a busy day.
   std::uint64_t CompactAfterBytes = 96U << 20U;
-  /// How long a ledger that fetches waits for a predecessor without a connection
-  /// before it joins without the records that only that one has. Longer than
-  /// machines take to restart; one that comes back later offers its records.
+  /// How long a ledger that fetches waits for a predecessor without a
+  /// connection before it joins without the records that only that one has.
+  /// Longer than machines take to restart; one that comes back later offers its
+  /// records.
   Duration HolderTimeout = std::chrono::seconds(8);
   /// How long at least the members count as incomplete after records were lost.
   /// Longer than accounts are kept.
