Confirm the configuration before a turn that continues another is denied its route

Read, not seen: it needs a program on a route that was just added.

Such a turn shows that its route is known elsewhere, so the configuration must have been confirmed since the turn was read; else it is 503 and comes back. Other requests without a route are refused as before, without a call to the store.

--- a/packages/relay/src/Relay.cpp
+++ b/packages/relay/src/Relay.cpp
@@ -250,12 +250,18 @@
 
 Task<std::optional<Error>>
 Relay::Impl::prepareConfirmed(RequestContext &Context) {
-  const auto IsInDoubt = [this](const std::optional<Error> &Failure) {
+  const auto IsInDoubt = [this, &Context](const std::optional<Error> &Failure) {
+    if (!Failure || (Failure->Kind != ErrorKind::UnknownService &&
+                     Failure->Kind != ErrorKind::Unauthorized))
+      return false;
+    // A turn that another entry answered shows that its route is known there.
+    const bool ContinuesTurn = Failure->Kind == ErrorKind::UnknownService &&
+                               !Context.Metadata.Previous.empty();
+    const Duration MaxAge = ContinuesTurn
+                                ? steadyNow() - Context.Caller.requestReadAt()
+                                : Configuration.MaxAge;
     const std::optional<Duration> Age = catalogAge();
-    return Failure &&
-           (Failure->Kind == ErrorKind::UnknownService ||
-            Failure->Kind == ErrorKind::Unauthorized) &&
-           (!Age || *Age > Configuration.MaxAge);
+    return !Age || *Age > MaxAge;
   };
   std::optional<Error> Failure = prepare(Context);
   if (!IsInDoubt(Failure) && !mayBeRevoked(Context))
--- a/packages/relay/test/RelayTest.cpp
+++ b/packages/relay/test/RelayTest.cpp
@@ -419,6 +419,29 @@
   BOOST_TEST(CatalogConfirmations == 2);
 }
 
+/// Guards against a 404 for a turn that goes on from a whole one, at an entry
+/// that does not know the route yet which another entry has served.
+BOOST_AUTO_TEST_CASE(ContinueATurnOnlyIfTheNewestOneHasTheRoute) {
+  setResponses({{signedResponse("hello")}});
+  CatalogAge = 1s;
+  const auto Continue = [this](const std::string &Target) {
+    return sendRequest(Target, {{"Id", "2"}, {"Previous", "1"}});
+  };
+  BOOST_TEST(Continue("/new/x").Head.Status == 503);
+  OnConfirmCatalog = [this] { CatalogAge = Duration(0); };
+  BOOST_TEST(Continue("/new/x").Head.Status == 404);
+  CatalogAge = 1s;
+  OnConfirmCatalog = [this] {
+    CatalogAge = Duration(0);
+    Catalog Next = Routes;
+    Next.Version = 2;
+    Next.Routes.push_back(route("/new/", RequestKind::Idempotent, 1));
+    RequestRelay.setCatalog(std::move(Next));
+  };
+  BOOST_TEST(Continue("/new/x").Body == "hello");
+  BOOST_TEST(CatalogConfirmations == 3);
+}
+
 BOOST_AUTO_TEST_CASE(DoNotHoldUpThoseThatHaveOne) {
   setResponses({{signedResponse("hello")}});
   CatalogAge = 3s;
--- a/packages/turns/include/tamarack/turns/TurnStore.h
+++ b/packages/turns/include/tamarack/turns/TurnStore.h
@@ -27,6 +27,7 @@
 #include "tamarack/turns/StreamOrigin.h"
 #include "tamarack/turns/View.h"
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -110,7 +111,7 @@
   }
   friend bool operator==(const RecordSummary &Left,
                          const RecordSummary &Right) {
-    return (Left <=> Right) == 0;
+    return std::is_eq(Left <=> Right);
   }
 };
 
