--- a/packages/relay/test/RelayTest.cpp
+++ b/packages/relay/test/RelayTest.cpp
@@ -386,20 +386,28 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+struct OldConfigurationFixture : RelayFixture {
+  /// Lets the store confirm a newer configuration that has the route "/new/".
+  void confirmWithNewRoute() {
+    OnConfirmCatalog = [this] {
+      CatalogAge = Duration(0);
+      Catalog Next = Routes;
+      Next.Version = 2;
+      Next.Routes.push_back(route("/new/", RequestKind::Idempotent, 1));
+      RequestRelay.setCatalog(std::move(Next));
+    };
+  }
+};
+
 /// Guards against a 404 that rests on a configuration of unknown age, such as
 /// after the process was suspended or while the store is away.
-BOOST_AUTO_TEST_SUITE(WithoutARouteInAnOldConfiguration)
+BOOST_FIXTURE_TEST_SUITE(WithoutARouteInAnOldConfiguration,
+                         OldConfigurationFixture)
 
 BOOST_AUTO_TEST_CASE(AreServedIfTheNewestOneHasTheRoute) {
   setResponses({{signedResponse("hello")}});
   CatalogAge = 3s;
-  OnConfirmCatalog = [this] {
-    CatalogAge = Duration(0);
-    Catalog Next = Routes;
-    Next.Version = 2;
-    Next.Routes.push_back(route("/new/", RequestKind::Idempotent, 1));
-    RequestRelay.setCatalog(std::move(Next));
-  };
+  confirmWithNewRoute();
   BOOST_TEST(sendRequest("/new/x", {{"Id", "1"}}).Body == "hello");
 }
 
@@ -431,13 +439,7 @@
   OnConfirmCatalog = [this] { CatalogAge = Duration(0); };
   BOOST_TEST(Continue("/new/x").Head.Status == 404);
   CatalogAge = 1s;
-  OnConfirmCatalog = [this] {
-    CatalogAge = Duration(0);
-    Catalog Next = Routes;
-    Next.Version = 2;
-    Next.Routes.push_back(route("/new/", RequestKind::Idempotent, 1));
-    RequestRelay.setCatalog(std::move(Next));
-  };
+  confirmWithNewRoute();
   BOOST_TEST(Continue("/new/x").Body == "hello");
   BOOST_TEST(CatalogConfirmations == 3);
 }
