--- a/review/standins-3/Scene.hpp
+++ b/review/standins-3/Scene.hpp
@@ -77,6 +77,10 @@
     std::string Zone;
     std::string Address;
     bool Streams = false;
+    /// The events of a whole stream.
+    unsigned Events = EventsPerTurn;
+    /// Whether it comes back under the id that it had.
+    bool KeepsId = false;
     Duration Work = std::chrono::milliseconds(10);
     /// How long it is down after a crash.
     Duration Downtime = std::chrono::seconds(2);
@@ -88,14 +92,18 @@
 
   Replica(Loop &Io, Options Config, soak::StandinStore &Store, Record &Log);
   void start();
+  /// Crashes now, and is back after \p Downtime.
+  void crashFor(Duration Downtime);
+  /// The software version from the next start on.
+  void setVersion(std::string Next) { Version = std::move(Next); }
   unsigned crashes() const { return Crashes; }
   unsigned running() const { return Running; }
 
 private:
   Task<void> serve(HttpExchange &Call);
   Task<void> streamEvents(HttpExchange &Call, std::string Request);
-  Task<void> beat(std::string OwnId);
-  Task<void> crash();
+  Task<void> beat(unsigned OwnIncarnation);
+  Task<void> crash(Duration Downtime);
   void publish();
 
   Loop &Io;
@@ -105,6 +113,8 @@
   std::unique_ptr<HttpServer> Server;
   std::vector<std::unique_ptr<HttpServer>> Closed;
   std::string Id;
+  std::string Version = "v1";
+  std::string RunningVersion;
   long long Born = 0;
   unsigned Incarnation = 0;
   unsigned Sequence = 0;
--- a/review/standins-3/TrialMain.cc
+++ b/review/standins-3/TrialMain.cc
@@ -2,6 +2,7 @@
 /// where ENTRY and LEDGER are the commands of the deploy file. TROUBLE=0 leaves
 /// the disruption out.
 #include "CrashTrials.hpp"
+#include "VersionTrials.hpp"
 
 #include <csignal>
 #include <cstdlib>
@@ -14,7 +15,8 @@
   const std::map<std::string, Trial> Trials = {
       {"bystander-turn", playBystanderTurn},
       {"deadly-call", playDeadlyCall},
-      {"records-lost", playRecordsLost}};
+      {"records-lost", playRecordsLost},
+      {"version-changed", playVersionChanged}};
   if (Count < 5 || Trials.count(Arguments[1]) == 0) {
     std::cerr << "usage: review-trial-3 NAME FOLDER RECORD ENTRY... -- "
                  "LEDGER...\n";
